--- /dev/null
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -0,0 +1,231 @@
+package org.bulrushweir.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.bulrushweir.api.OrganisationId;
+import org.bulrushweir.declaration.WorkClass;
+import org.bulrushweir.delivery.RefusalKind;
+
+/**
+ * Decides which attempts an endpoint accepts and which one runs next. Not safe for use by many
+ * threads.
+ *
+ * <p>An attempt is accepted only while the work that the endpoint carries does not exceed the load
+ * multiple times the pool's mean, so that one endpoint never carries more than the multiple plus
+ * one attempt. Among the accepted ones, classes go by priority, waiting attempts gain priority with
+ * time, and organisations within a class share by weight.
+ */
+public final class AdmissionController {
+
+  private static final long PRIORITY_STEP_MS = 2_000;
+
+  private final Map<String, FairQueue> queues = new TreeMap<>();
+  private final Map<String, WorkClass> classes = new HashMap<>();
+  private final Map<AttemptKey, WorkItem> queued = new HashMap<>();
+  private final Map<AttemptKey, RunningItem> running = new HashMap<>();
+  private final Map<OrganisationId, Integer> slotsHeld = new HashMap<>();
+  private final ServiceRate rate = new ServiceRate();
+  private AdmissionSettings settings;
+  private boolean leaving;
+  private long load;
+  private int longRunning;
+
+  /**
+   * Creates the controller of an idle endpoint.
+   *
+   * @param settings the settings
+   */
+  public AdmissionController(final AdmissionSettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Changes the settings.
+   *
+   * @param newSettings the settings from now on
+   */
+  public void reconfigure(final AdmissionSettings newSettings) {
+    settings = newSettings;
+  }
+
+  /** Refuses all new attempts from now on. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /**
+   * Tells whether the endpoint is leaving.
+   *
+   * @return true after {@link #leave()}
+   */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /**
+   * Returns the work that the endpoint carries, queued or running.
+   *
+   * @return the load in work units
+   */
+  public long load() {
+    return load;
+  }
+
+  /**
+   * Counts the attempts that are queued or running.
+   *
+   * @return the number of attempts
+   */
+  public int inFlight() {
+    return queued.size() + running.size();
+  }
+
+  /**
+   * Offers an attempt.
+   *
+   * @param item the attempt
+   * @param meanLoad the mean load of the pool, in work units
+   * @return whether it is accepted
+   */
+  public AdmissionDecision offer(final WorkItem item, final double meanLoad) {
+    if (leaving) {
+      return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0);
+    }
+    if (load > settings.loadMultiple() * meanLoad) {
+      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item));
+    }
+    final long waitMs = estimatedWaitMs(item);
+    if (item.arrivedMs() + waitMs > item.startByMs()) {
+      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs);
+    }
+    classes.put(item.workClass().name(), item.workClass());
+    queues.computeIfAbsent(item.workClass().name(), name -> new FairQueue()).add(item);
+    queued.put(item.key(), item);
+    load += item.cost();
+    return new AdmissionDecision.Admitted();
+  }
+
+  private long estimatedWaitMs(final WorkItem item) {
+    if (running.size() < settings.slots()) {
+      return 0;
+    }
+    double ahead = 0;
+    for (final RunningItem other : running.values()) {
+      ahead += other.item().cost() / 2.0;
+    }
+    for (final Map.Entry<String, FairQueue> entry : queues.entrySet()) {
+      if (classes.get(entry.getKey()).priority() <= item.workClass().priority()) {
+        ahead += entry.getValue().queuedCost();
+      }
+    }
+    return Math.round(ahead * rate.unitMs() / settings.slots());
+  }
+
+  /**
+   * Takes the attempt that is to run next, if a slot is free for it.
+   *
+   * @param nowMs the current time
+   * @return the attempt, which counts as running from now on
+   */
+  public Optional<WorkItem> startNext(final long nowMs) {
+    if (running.size() >= settings.slots()) {
+      return Optional.empty();
+    }
+    final Optional<WorkItem> next =
+        queues.values().stream()
+            .map(queue -> queue.peek(this::mayHoldAnotherSlot))
+            .flatMap(Optional::stream)
+            .filter(this::hasSlotFor)
+            .min(
+                Comparator.comparingLong((WorkItem item) -> urgency(item, nowMs))
+                    .thenComparing(item -> item.workClass().name()));
+    next.ifPresent(item -> start(item, nowMs));
+    return next;
+  }
+
+  private boolean mayHoldAnotherSlot(final OrganisationId organisation) {
+    return slotsHeld.getOrDefault(organisation, 0) < settings.maximumSlots(organisation);
+  }
+
+  private boolean hasSlotFor(final WorkItem item) {
+    return item.workClass().shortWork()
+        || longRunning < settings.slots() - settings.reservedSlots();
+  }
+
+  private static long urgency(final WorkItem item, final long nowMs) {
+    final long waitedMs = nowMs - item.arrivedMs();
+    return item.workClass().priority() * PRIORITY_STEP_MS - waitedMs;
+  }
+
+  private void start(final WorkItem item, final long nowMs) {
+    queues.get(item.workClass().name()).take(item, settings.share(item.organisation()).weight());
+    queued.remove(item.key());
+    running.put(item.key(), new RunningItem(item, nowMs));
+    slotsHeld.merge(item.organisation(), 1, Integer::sum);
+    if (!item.workClass().shortWork()) {
+      longRunning++;
+    }
+  }
+
+  /**
+   * Takes note that a running attempt has ended.
+   *
+   * @param key the attempt
+   * @param nowMs the current time
+   */
+  public void finish(final AttemptKey key, final long nowMs) {
+    final RunningItem ended = running.remove(key);
+    if (ended == null) {
+      return;
+    }
+    final WorkItem item = ended.item();
+    rate.record(item.cost(), nowMs - ended.startedMs());
+    load -= item.cost();
+    slotsHeld.merge(item.organisation(), -1, Integer::sum);
+    if (!item.workClass().shortWork()) {
+      longRunning--;
+    }
+  }
+
+  /**
+   * Takes an attempt out of the queue.
+   *
+   * @param key the attempt
+   * @return true if it was queued and will not run
+   */
+  public boolean cancelQueued(final AttemptKey key) {
+    final WorkItem item = queued.remove(key);
+    if (item == null) {
+      return false;
+    }
+    queues.get(item.workClass().name()).remove(item);
+    load -= item.cost();
+    return true;
+  }
+
+  /**
+   * Takes out of the queue what can no longer start in time.
+   *
+   * @param nowMs the current time
+   * @return the attempts, which will not run
+   */
+  public List<WorkItem> expire(final long nowMs) {
+    final List<WorkItem> expired = new ArrayList<>();
+    queues.values().forEach(queue -> expired.addAll(queue.overdue(nowMs)));
+    expired.forEach(item -> cancelQueued(item.key()));
+    return expired;
+  }
+
+  /**
+   * Remembers when an attempt was started.
+   *
+   * @param item the attempt
+   * @param startedMs when it was started, in milliseconds
+   */
+  private record RunningItem(WorkItem item, long startedMs) {}
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Decides, without I/O, which requests an endpoint accepts and in which order they run. */
+package org.bulrushweir.admission;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/api/InvalidInputException.java
@@ -0,0 +1,32 @@
+package org.bulrushweir.api;
+
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/** Reports all findings of an input that can't be used. */
+public final class InvalidInputException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient SortedSet<Finding> findings;
+
+  /**
+   * Creates the exception.
+   *
+   * @param findings the findings, at least one
+   */
+  public InvalidInputException(final SortedSet<Finding> findings) {
+    super(findings.stream().map(Finding::toString).collect(Collectors.joining("\n")));
+    this.findings = new TreeSet<>(findings);
+  }
+
+  /**
+   * Returns the findings.
+   *
+   * @return the findings, sorted by place
+   */
+  public SortedSet<Finding> findings() {
+    return findings;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/api/OrganisationId.java
@@ -0,0 +1,23 @@
+package org.bulrushweir.api;
+
+/**
+ * Identifies an organisation on whose behalf callers send requests.
+ *
+ * @param value the organisation's declared name
+ */
+public record OrganisationId(String value) {
+
+  /**
+   * Checks the name.
+   *
+   * @throws IllegalArgumentException if the name is not a valid identifier
+   */
+  public OrganisationId {
+    Identifiers.requireValid("organisation", value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/api/RequestId.java
@@ -0,0 +1,31 @@
+package org.bulrushweir.api;
+
+/**
+ * Identifies one request of a caller across all of its attempts.
+ *
+ * @param value 64 random bits
+ */
+public record RequestId(long value) {
+
+  private static final int HEX_RADIX = 16;
+  private static final int HEX_LENGTH = 16;
+
+  /**
+   * Parses the text form.
+   *
+   * @param text sixteen hexadecimal digits
+   * @return the id
+   * @throws IllegalArgumentException if the text has another form
+   */
+  public static RequestId parse(final String text) {
+    if (text.length() != HEX_LENGTH) {
+      throw new IllegalArgumentException("a request id has " + HEX_LENGTH + " digits: " + text);
+    }
+    return new RequestId(Long.parseUnsignedLong(text, HEX_RADIX));
+  }
+
+  @Override
+  public String toString() {
+    return String.format("%016x", value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/command/Main.java
@@ -0,0 +1,30 @@
+package org.bulrushweir.command;
+
+import java.util.List;
+
+/** Starts the binary. */
+public final class Main {
+
+  private Main() {}
+
+  /**
+   * Runs a command line and exits.
+   *
+   * @param arguments the command and its options
+   */
+  public static void main(final String[] arguments) {
+    final Console console = new Console(System.out, System.err);
+    final CommandLine line =
+        new CommandLine(
+            List.of(
+                ProcessCommand.router(),
+                ProcessCommand.sidecar(),
+                new CheckCommand(),
+                new SubmitCommand(),
+                new PlatformStandInCommand(),
+                new EngineStandInCommand(),
+                new ServiceStandInCommand()),
+            console);
+    System.exit(line.run(List.of(arguments)).number());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the binary. */
+package org.bulrushweir.command;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/configuration/ConfigMachine.java
@@ -0,0 +1,106 @@
+package org.bulrushweir.configuration;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.bulrushweir.api.ConfigNumber;
+import org.bulrushweir.api.InvalidInputException;
+import org.bulrushweir.declaration.DeclarationLoader;
+
+/**
+ * Decides which configuration is in force in a process. The number in force never decreases. Not
+ * safe for use by many threads.
+ */
+public final class ConfigMachine {
+
+  private AcceptedConfig inForce;
+  private boolean fetching;
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration, empty before the first one is known
+   */
+  public Optional<AcceptedConfig> inForce() {
+    return Optional.ofNullable(inForce);
+  }
+
+  /**
+   * Returns the number in force.
+   *
+   * @return the number, zero before the first one is known
+   */
+  public ConfigNumber number() {
+    return inForce == null ? ConfigNumber.NONE : inForce.number();
+  }
+
+  /**
+   * Computes the digest of a text.
+   *
+   * @param text the text
+   * @return the SHA-256 digest in hexadecimal
+   */
+  public static String digest(final String text) {
+    return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param event the event
+   * @return what to do
+   */
+  public List<ConfigAction> on(final ConfigEvent event) {
+    return switch (event) {
+      case ConfigEvent.HeadRead read -> headRead(read.head());
+      case ConfigEvent.NumberSeen seen -> numberSeen(seen);
+      case ConfigEvent.TextArrived arrived -> textArrived(arrived);
+      case ConfigEvent.FetchFailed failed -> {
+        fetching = false;
+        yield List.of();
+      }
+    };
+  }
+
+  private List<ConfigAction> headRead(final ConfigHead head) {
+    if (!new ConfigNumber(head.number()).newerThan(number())) {
+      return List.of();
+    }
+    fetching = true;
+    return List.of(new ConfigAction.FetchFromPlatform(head));
+  }
+
+  private List<ConfigAction> numberSeen(final ConfigEvent.NumberSeen seen) {
+    if (fetching || !seen.number().newerThan(number())) {
+      return List.of();
+    }
+    fetching = true;
+    return List.of(new ConfigAction.FetchFromPeer(seen.peer()));
+  }
+
+  private List<ConfigAction> textArrived(final ConfigEvent.TextArrived arrived) {
+    fetching = false;
+    if (!arrived.number().newerThan(number())) {
+      return List.of();
+    }
+    if (!digest(arrived.text()).equals(arrived.digest())) {
+      return List.of(
+          new ConfigAction.Complain(
+              "the text of configuration " + arrived.number() + " does not match its digest"));
+    }
+    try {
+      inForce =
+          new AcceptedConfig(
+              arrived.number(),
+              arrived.digest(),
+              arrived.text(),
+              DeclarationLoader.load("configuration " + arrived.number(), arrived.text()));
+    } catch (InvalidInputException e) {
+      return List.of(
+          new ConfigAction.Complain(
+              "configuration " + arrived.number() + " can't be used: " + e.getMessage()));
+    }
+    return List.of(new ConfigAction.Adopt(inForce));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/delivery/RequestEvent.java
@@ -0,0 +1,73 @@
+package org.bulrushweir.delivery;
+
+import org.bulrushweir.api.EndpointId;
+
+/** Something that happened to a request at the router. */
+public sealed interface RequestEvent {
+
+  /**
+   * An endpoint has queued or started an attempt.
+   *
+   * @param attempt the attempt
+   */
+  record Accepted(int attempt) implements RequestEvent {}
+
+  /**
+   * An endpoint has not run an attempt and never will.
+   *
+   * @param attempt the attempt
+   * @param kind why
+   * @param retryAfterMs when the caller may try again, zero if unknown
+   * @param movedTo where the chat's cache is, null if unknown
+   * @param detail a message for the caller
+   */
+  record Refused(
+      int attempt, RefusalKind kind, long retryAfterMs, EndpointId movedTo, String detail)
+      implements RequestEvent {}
+
+  /**
+   * A part of an answer has come.
+   *
+   * @param attempt the attempt
+   * @param sequence the part's sequence number
+   * @param part the part
+   */
+  record PartArrived(int attempt, int sequence, AnswerPart part) implements RequestEvent {}
+
+  /**
+   * An answer has ended.
+   *
+   * @param attempt the attempt
+   * @param end how it ended
+   */
+  record Ended(int attempt, AttemptEnd end) implements RequestEvent {}
+
+  /**
+   * The connection over which an attempt was sent is gone or silent.
+   *
+   * @param attempt the attempt
+   */
+  record ConnectionLost(int attempt) implements RequestEvent {}
+
+  /**
+   * A sidecar has answered a request to resume.
+   *
+   * @param attempt the attempt
+   * @param answer the answer
+   */
+  record ResumeAnswered(int attempt, ResumeAnswer answer) implements RequestEvent {}
+
+  /**
+   * A sidecar has answered a cancellation.
+   *
+   * @param attempt the attempt
+   * @param notStarted true if the attempt was not started and never will be
+   */
+  record CancelAnswered(int attempt, boolean notStarted) implements RequestEvent {}
+
+  /** The caller has gone away. */
+  record CallerGone() implements RequestEvent {}
+
+  /** Time has passed. */
+  record Tick() implements RequestEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -0,0 +1,178 @@
+package org.bulrushweir.engine;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.ConnectionPool;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/** Calls the endpoint beside a sidecar. Calls block; they are made on virtual threads. */
+public final class EngineClient implements AutoCloseable {
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final long STALL_TIMEOUT_MS = 10_000;
+  private static final long CONNECT_TIMEOUT_MS = 1_000;
+  private static final int IDLE_CONNECTIONS = 64;
+  private static final String DATA_PREFIX = "data: ";
+  private static final String DONE = "[DONE]";
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_TOO_MANY = 429;
+  private static final int STATUS_UNAVAILABLE = 503;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpUrl base;
+  private final OkHttpClient client;
+
+  /**
+   * Creates the client.
+   *
+   * @param base the endpoint's base URL
+   */
+  public EngineClient(final HttpUrl base) {
+    this.base = base;
+    this.client =
+        new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
+            .readTimeout(Duration.ofMillis(STALL_TIMEOUT_MS))
+            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
+            .build();
+  }
+
+  /**
+   * Prepares a chat request.
+   *
+   * @param request the request
+   * @return a call that can be cancelled
+   */
+  public Call chatCall(final EngineProtocol.ChatRequest request) {
+    return client.newCall(
+        new Request.Builder()
+            .url(url("/v1/chat/completions"))
+            .post(RequestBody.create(write(request), JSON))
+            .build());
+  }
+
+  /**
+   * Runs a chat request.
+   *
+   * @param call the prepared call
+   * @param listener follows the answer
+   * @return how the call ended
+   */
+  public EngineResult chat(final Call call, final EngineListener listener) {
+    try (Response response = call.execute()) {
+      if (!response.isSuccessful()) {
+        return failed(response);
+      }
+      return readAnswer(response.body().source(), listener);
+    } catch (ConnectException e) {
+      return new EngineResult.Refused(false, "the engine can't be reached: " + e.getMessage());
+    } catch (IOException e) {
+      return new EngineResult.Broken("the engine's answer broke off: " + e.getMessage());
+    }
+  }
+
+  private static EngineResult failed(final Response response) throws IOException {
+    final String detail =
+        "the engine answered with status " + response.code() + ": " + response.body().string();
+    return switch (response.code()) {
+      case STATUS_NOT_FOUND -> new EngineResult.Refused(true, detail);
+      case STATUS_TOO_MANY, STATUS_UNAVAILABLE -> new EngineResult.Refused(false, detail);
+      default -> new EngineResult.Broken(detail);
+    };
+  }
+
+  private EngineResult readAnswer(final BufferedSource source, final EngineListener listener)
+      throws IOException {
+    EngineResult.Generated generated = null;
+    for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+      if (!line.startsWith(DATA_PREFIX)) {
+        continue;
+      }
+      final String data = line.substring(DATA_PREFIX.length());
+      if (DONE.equals(data)) {
+        break;
+      }
+      final EngineProtocol.ChatChunk chunk = mapper.readValue(data, EngineProtocol.ChatChunk.class);
+      final EngineProtocol.ChunkChoice choice = chunk.choices().getFirst();
+      if (choice.delta() != null && choice.delta().content() != null) {
+        listener.token(choice.delta().content());
+      }
+      if (choice.finishReason() != null) {
+        generated = new EngineResult.Generated(chunk.usage(), choice.finishReason());
+      }
+    }
+    if (generated == null) {
+      return new EngineResult.Broken("the engine's answer ended early");
+    }
+    return generated;
+  }
+
+  /**
+   * Prepares a call of a plain service.
+   *
+   * @param method the HTTP method
+   * @param path the HTTP path with its query
+   * @param contentType the content type of the body, empty if there is no body
+   * @param body the body
+   * @return a call that can be cancelled
+   */
+  public Call serviceCall(
+      final String method, final String path, final String contentType, final byte[] body) {
+    final boolean bodyAllowed = !"GET".equals(method) && !"HEAD".equals(method);
+    final MediaType type = contentType.isEmpty() ? null : MediaType.parse(contentType);
+    final RequestBody requestBody = bodyAllowed ? RequestBody.create(body, type) : null;
+    return client.newCall(new Request.Builder().url(url(path)).method(method, requestBody).build());
+  }
+
+  /**
+   * Runs a call of a plain service.
+   *
+   * @param call the prepared call
+   * @return how the call ended
+   */
+  public EngineResult serve(final Call call) {
+    try (Response response = call.execute()) {
+      final MediaType type = response.body().contentType();
+      return new EngineResult.Answered(
+          response.code(), type == null ? "" : type.toString(), response.body().bytes());
+    } catch (ConnectException e) {
+      return new EngineResult.Refused(false, "the service can't be reached: " + e.getMessage());
+    } catch (IOException e) {
+      return new EngineResult.Broken("the service's answer broke off: " + e.getMessage());
+    }
+  }
+
+  private HttpUrl url(final String path) {
+    final HttpUrl resolved = base.resolve(path);
+    if (resolved == null) {
+      throw new IllegalArgumentException("not a path: " + path);
+    }
+    return resolved;
+  }
+
+  private byte[] write(final Object message) {
+    try {
+      return mapper.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a message of our own can't be written", e);
+    }
+  }
+
+  @Override
+  public void close() {
+    client.dispatcher().executorService().shutdown();
+    client.connectionPool().evictAll();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Sets up log records as text or JSON. */
+package org.bulrushweir.logging;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/node/ConfigService.java
@@ -0,0 +1,201 @@
+package org.bulrushweir.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bulrushweir.api.ConfigNumber;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.configuration.AcceptedConfig;
+import org.bulrushweir.configuration.ConfigAction;
+import org.bulrushweir.configuration.ConfigEvent;
+import org.bulrushweir.configuration.ConfigHead;
+import org.bulrushweir.configuration.ConfigMachine;
+import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.platform.Row;
+import org.bulrushweir.wire.PeerChannel;
+import org.bulrushweir.wire.generated.ConfigRequest;
+import org.bulrushweir.wire.generated.ConfigText;
+import org.bulrushweir.wire.generated.Envelope;
+
+/** Keeps the newest accepted configuration in force in this process. */
+public final class ConfigService implements KernelService {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long POLL_INTERVAL_MS = 1_000;
+
+  private final ConfigMachine machine = new ConfigMachine();
+  private final Map<NodeId, PeerChannel> channels = new HashMap<>();
+  private final List<Consumer<AcceptedConfig>> listeners = new CopyOnWriteArrayList<>();
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().name("configuration").daemon().factory());
+  private final PlatformStore store;
+  private volatile AcceptedConfig inForce;
+
+  /**
+   * Creates the service.
+   *
+   * @param store the platform's store
+   */
+  public ConfigService(final PlatformStore store) {
+    this.store = store;
+  }
+
+  @Override
+  public void start() {
+    executor.scheduleWithFixedDelay(this::pollHead, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration, empty before the first one is known
+   */
+  public Optional<AcceptedConfig> inForce() {
+    return Optional.ofNullable(inForce);
+  }
+
+  /**
+   * Returns the number in force, which rides on every message.
+   *
+   * @return the number, zero before the first configuration is known
+   */
+  public long number() {
+    final AcceptedConfig current = inForce;
+    return current == null ? 0 : current.number().value();
+  }
+
+  /**
+   * Adds a listener that hears of every configuration put in force, including the present one.
+   *
+   * @param listener the listener
+   */
+  public void addListener(final Consumer<AcceptedConfig> listener) {
+    listeners.add(listener);
+    inForce().ifPresent(listener);
+  }
+
+  /**
+   * Takes note of the number that a peer's message carried.
+   *
+   * @param channel the connection with the peer
+   * @param number the number
+   */
+  public void numberSeen(final PeerChannel channel, final long number) {
+    if (number <= number()) {
+      return;
+    }
+    executor.execute(
+        () -> {
+          final NodeId peer = channel.remote().node();
+          channels.put(peer, channel);
+          handle(new ConfigEvent.NumberSeen(new ConfigNumber(number), peer));
+        });
+  }
+
+  /**
+   * Takes a text that a peer has sent.
+   *
+   * @param message the peer's message
+   */
+  public void textArrived(final ConfigText message) {
+    executor.execute(
+        () ->
+            handle(
+                new ConfigEvent.TextArrived(
+                    new ConfigNumber(message.getNumber()),
+                    message.getDigest(),
+                    message.getText())));
+  }
+
+  /**
+   * Sends the configuration in force to a peer that has asked for it.
+   *
+   * @param channel the connection with the peer
+   */
+  public void sendText(final PeerChannel channel) {
+    final AcceptedConfig config = inForce;
+    if (config == null) {
+      return;
+    }
+    channel.send(
+        Envelope.newBuilder()
+            .setConfigText(
+                ConfigText.newBuilder()
+                    .setNumber(config.number().value())
+                    .setDigest(config.digest())
+                    .setText(config.text())));
+  }
+
+  private void pollHead() {
+    try {
+      final Row row = store.read(ConfigHead.ROW_KEY).join();
+      if (row.exists()) {
+        handle(new ConfigEvent.HeadRead(mapper.readValue(row.value(), ConfigHead.class)));
+      }
+    } catch (RuntimeException e) {
+      logger.atFine().log("the head of the configuration can't be read: %s", e.getMessage());
+    } catch (JsonProcessingException e) {
+      logger.atSevere().withCause(e).log("the head of the configuration is malformed");
+    }
+  }
+
+  private void handle(final ConfigEvent event) {
+    final List<ConfigAction> actions = new ArrayList<>(machine.on(event));
+    for (final ConfigAction action : actions) {
+      switch (action) {
+        case ConfigAction.FetchFromPlatform fetch -> fetchFromPlatform(fetch.head());
+        case ConfigAction.FetchFromPeer fetch -> fetchFromPeer(fetch.peer());
+        case ConfigAction.Adopt adopt -> adopt(adopt.config());
+        case ConfigAction.Complain complaint -> logger.atSevere().log("%s", complaint.message());
+      }
+    }
+  }
+
+  private void fetchFromPlatform(final ConfigHead head) {
+    try {
+      final Optional<String> text = store.object(head.objectKey()).join();
+      if (text.isPresent()) {
+        handle(
+            new ConfigEvent.TextArrived(
+                new ConfigNumber(head.number()), head.digest(), text.get()));
+        return;
+      }
+      logger.atSevere().log("the text of configuration %d is missing", head.number());
+    } catch (RuntimeException e) {
+      logger.atWarning().log(
+          "the text of configuration %d can't be read: %s", head.number(), e.getMessage());
+    }
+    handle(new ConfigEvent.FetchFailed());
+  }
+
+  private void fetchFromPeer(final NodeId peer) {
+    channels.get(peer).send(Envelope.newBuilder().setConfigRequest(ConfigRequest.newBuilder()));
+    executor.schedule(
+        () -> handle(new ConfigEvent.FetchFailed()), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void adopt(final AcceptedConfig config) {
+    inForce = config;
+    channels.clear();
+    logger.atInfo().log("configuration %s is in force", config.number());
+    listeners.forEach(listener -> listener.accept(config));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/node/ServiceNames.java
@@ -0,0 +1,28 @@
+package org.bulrushweir.node;
+
+/** The names by which the services of a process find each other. */
+public final class ServiceNames {
+
+  /** The client of the platform. */
+  public static final String PLATFORM = "platform";
+
+  /** The configuration in force. */
+  public static final String CONFIGURATION = "configuration";
+
+  /** The connections with peers. */
+  public static final String PEERS = "peers";
+
+  /** The list of endpoints. */
+  public static final String DIRECTORY = "directory";
+
+  /** The HTTP server for callers and operators. */
+  public static final String HTTP = "http";
+
+  /** The router's links to endpoints. */
+  public static final String LINKS = "links";
+
+  /** The sidecar's admission and runs. */
+  public static final String SIDECAR = "sidecar";
+
+  private ServiceNames() {}
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/node/package-info.java
@@ -0,0 +1,2 @@
+/** The services that routers and sidecars have in common. */
+package org.bulrushweir.node;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/Row.java
@@ -0,0 +1,30 @@
+package org.bulrushweir.platform;
+
+/**
+ * Holds a row of the platform's table as it was read.
+ *
+ * @param key the row's key
+ * @param version the row's version, zero if the row is absent
+ * @param value the row's value, empty if the row is absent
+ */
+public record Row(String key, long version, String value) {
+
+  /**
+   * Describes a row that does not exist.
+   *
+   * @param key the row's key
+   * @return the absent row
+   */
+  public static Row absent(final String key) {
+    return new Row(key, 0, "");
+  }
+
+  /**
+   * Tells whether the row exists.
+   *
+   * @return true if it exists
+   */
+  public boolean exists() {
+    return version != 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/VmState.java
@@ -0,0 +1,9 @@
+package org.bulrushweir.platform;
+
+/** The states in which the platform lists a VM. */
+public enum VmState {
+  /** The VM runs. */
+  LIVE,
+  /** The VM is about to be taken away. */
+  LEAVING
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/Write.java
@@ -0,0 +1,9 @@
+package org.bulrushweir.platform;
+
+/**
+ * Sets a row, or deletes it.
+ *
+ * @param key the row's key
+ * @param value the new value, null to delete the row
+ */
+public record Write(String key, String value) {}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/process/NodeModule.java
@@ -0,0 +1,84 @@
+package org.bulrushweir.process;
+
+import dagger.Module;
+import dagger.Provides;
+import dagger.multibindings.IntoMap;
+import dagger.multibindings.StringKey;
+import java.util.Map;
+import javax.inject.Singleton;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.Incarnation;
+import org.bulrushweir.kernel.Kernel;
+import org.bulrushweir.kernel.ServiceFactory;
+import org.bulrushweir.kernel.SystemClock;
+import org.bulrushweir.node.ConfigService;
+import org.bulrushweir.node.DirectoryService;
+import org.bulrushweir.node.PeerService;
+import org.bulrushweir.node.PlatformService;
+import org.bulrushweir.node.ServiceNames;
+import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.wire.PeerIdentity;
+
+/** Provides what routers and sidecars have in common. */
+@Module
+final class NodeModule {
+
+  private NodeModule() {}
+
+  @Provides
+  @Singleton
+  static Clock clock() {
+    return new SystemClock();
+  }
+
+  @Provides
+  @Singleton
+  static PeerIdentity self(final ProcessSettings settings, final Clock clock) {
+    return new PeerIdentity(settings.node(), new Incarnation(clock.nowMs()), settings.zone());
+  }
+
+  @Provides
+  @Singleton
+  static Kernel kernel(final Map<String, ServiceFactory> factories) {
+    return new Kernel(factories);
+  }
+
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.PLATFORM)
+  static ServiceFactory platform(final ProcessSettings settings) {
+    return services -> new PlatformService(settings);
+  }
+
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.CONFIGURATION)
+  static ServiceFactory configuration() {
+    return services ->
+        new ConfigService(services.find(ServiceNames.PLATFORM, PlatformService.class).store());
+  }
+
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.DIRECTORY)
+  static ServiceFactory directory() {
+    return services ->
+        new DirectoryService(services.find(ServiceNames.PLATFORM, PlatformService.class).store());
+  }
+
+  /**
+   * Provides the factory of the connections with peers.
+   *
+   * @param settings the process's settings
+   * @param self who this process is
+   * @return the factory
+   */
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.PEERS)
+  static ServiceFactory peers(final ProcessSettings settings, final PeerIdentity self) {
+    return services ->
+        new PeerService(
+            settings, self, services.find(ServiceNames.CONFIGURATION, ConfigService.class));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/router/ChatStream.java
@@ -0,0 +1,123 @@
+package org.bulrushweir.router;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.javalin.http.Context;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.bulrushweir.delivery.AnswerSummary;
+import org.bulrushweir.delivery.RequestAction;
+import org.bulrushweir.engine.EngineProtocol;
+
+/** Writes a chat's answer to its caller as server-sent events. */
+final class ChatStream implements AnswerSink {
+
+  private static final String MEDIA_TYPE = "text/event-stream";
+
+  private final ObjectMapper mapper;
+  private final Context ctx;
+  private final RequestSpec spec;
+  private final LinkService links;
+  private OutputStream output;
+
+  /**
+   * Creates a stream; nothing is written until the first part.
+   *
+   * @param mapper writes JSON
+   * @param ctx the HTTP request
+   * @param spec the request
+   * @param links the links to endpoints
+   */
+  ChatStream(
+      final ObjectMapper mapper,
+      final Context ctx,
+      final RequestSpec spec,
+      final LinkService links) {
+    this.mapper = mapper;
+    this.ctx = ctx;
+    this.spec = spec;
+    this.links = links;
+  }
+
+  /**
+   * Tells whether anything was written, so that the HTTP status is settled.
+   *
+   * @return true after the first part
+   */
+  boolean isOpen() {
+    return output != null;
+  }
+
+  @Override
+  public void part(final RequestAction.Emit emit) throws IOException {
+    open(emit.endpoint().value());
+    final long incarnation =
+        links
+            .link(emit.endpoint())
+            .incarnationOf(new org.bulrushweir.admission.AttemptKey(spec.id(), emit.attempt()));
+    final StreamPosition position =
+        new StreamPosition(
+            emit.endpoint(), incarnation, spec.id(), emit.attempt(), emit.sequence());
+    final String text = emit.part().payload().toStringUtf8();
+    write("id: " + position + "\ndata: " + json(chunk(text, null, null)) + "\n\n");
+  }
+
+  /**
+   * Writes the end of a whole answer.
+   *
+   * @param summary the answer's summary
+   * @param endpoint where it came from
+   * @throws IOException if the caller has gone away
+   */
+  void end(final AnswerSummary summary, final String endpoint) throws IOException {
+    open(endpoint);
+    write(
+        "data: "
+            + json(chunk(null, summary.finishReason(), ChatAnswers.usage(summary)))
+            + "\n\ndata: [DONE]\n\n");
+  }
+
+  /**
+   * Writes that the answer can't be completed.
+   *
+   * @param problem what happened
+   * @throws IOException if the caller has gone away
+   */
+  void fail(final Problem problem) throws IOException {
+    write("event: error\ndata: " + json(problem) + "\n\n");
+  }
+
+  private void open(final String endpoint) throws IOException {
+    if (output != null) {
+      return;
+    }
+    ctx.contentType(MEDIA_TYPE)
+        .header("Cache-Control", "no-store")
+        .header(Headers.REQUEST, spec.id().toString())
+        .header(Headers.AFFINITY, endpoint)
+        .header(Headers.RUN_STATE, "ran");
+    output = ctx.res().getOutputStream();
+  }
+
+  private EngineProtocol.ChatChunk chunk(
+      final String text, final String finishReason, final EngineProtocol.Usage usage) {
+    return new EngineProtocol.ChatChunk(
+        spec.id().toString(),
+        "chat.completion.chunk",
+        spec.model(),
+        List.of(
+            new EngineProtocol.ChunkChoice(
+                0, new EngineProtocol.ChatMessage("assistant", text), finishReason)),
+        usage);
+  }
+
+  private String json(final Object value) throws IOException {
+    return mapper.writeValueAsString(value);
+  }
+
+  private void write(final String text) throws IOException {
+    output.write(text.getBytes(StandardCharsets.UTF_8));
+    output.flush();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/router/RequestRunner.java
@@ -0,0 +1,205 @@
+package org.bulrushweir.router;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.delivery.RefusalKind;
+import org.bulrushweir.delivery.RequestAction;
+import org.bulrushweir.delivery.RequestEvent;
+import org.bulrushweir.delivery.RequestMachine;
+import org.bulrushweir.delivery.RequestOutcome;
+import org.bulrushweir.node.DirectoryService;
+import org.bulrushweir.platform.Vm;
+import org.bulrushweir.wire.generated.Dispatch;
+
+/** Drives the machine of one request: waits for events and carries out actions. Blocks. */
+final class RequestRunner {
+
+  private static final int LOAD_HINTS = 16;
+  private static final long CALLER_GONE_GRACE_MS = 10_000;
+
+  private final BlockingQueue<RequestEvent> events = new LinkedBlockingQueue<>();
+  private final Map<Integer, EndpointId> attempts = new HashMap<>();
+  private final RequestSpec spec;
+  private final RequestMachine machine;
+  private final LinkService links;
+  private final DirectoryService directory;
+  private final Clock clock;
+  private final AnswerSink sink;
+  private RequestOutcome outcome;
+  private long incarnation;
+  private boolean callerGone;
+
+  /**
+   * Creates a runner.
+   *
+   * @param spec the request
+   * @param machine the request's machine
+   * @param links the links to endpoints
+   * @param directory the list of endpoints
+   * @param clock the clock
+   * @param sink takes the answer
+   */
+  RequestRunner(
+      final RequestSpec spec,
+      final RequestMachine machine,
+      final LinkService links,
+      final DirectoryService directory,
+      final Clock clock,
+      final AnswerSink sink) {
+    this.spec = spec;
+    this.machine = machine;
+    this.links = links;
+    this.directory = directory;
+    this.clock = clock;
+    this.sink = sink;
+  }
+
+  /**
+   * Runs the request.
+   *
+   * @return the outcome
+   * @throws InterruptedException if the thread is interrupted
+   */
+  RequestOutcome run() throws InterruptedException {
+    carryOut(machine.start(clock.nowMs()));
+    return awaitOutcome();
+  }
+
+  /**
+   * Takes over a request whose caller has lost its router.
+   *
+   * @param position where its answer goes on
+   * @return the outcome
+   * @throws InterruptedException if the thread is interrupted
+   */
+  RequestOutcome takeOver(final StreamPosition position) throws InterruptedException {
+    incarnation = position.incarnation();
+    carryOut(
+        machine.takeOver(
+            position.attempt(), position.endpoint(), position.sequence() + 1, clock.nowMs()));
+    return awaitOutcome();
+  }
+
+  private RequestOutcome awaitOutcome() throws InterruptedException {
+    try {
+      drive();
+    } finally {
+      attempts.forEach((attempt, endpoint) -> links.link(endpoint).forget(key(attempt)));
+    }
+    return outcome;
+  }
+
+  private void drive() throws InterruptedException {
+    while (outcome == null) {
+      final long waitMs = Math.max(0, machine.nextTickMs() - clock.nowMs());
+      final RequestEvent event = events.poll(waitMs, TimeUnit.MILLISECONDS);
+      feed(event == null ? new RequestEvent.Tick() : event);
+    }
+  }
+
+  private void feed(final RequestEvent event) {
+    carryOut(machine.on(event, clock.nowMs()));
+  }
+
+  private void carryOut(final List<RequestAction> actions) {
+    for (final RequestAction action : actions) {
+      switch (action) {
+        case RequestAction.Dispatch dispatch -> dispatch(dispatch);
+        case RequestAction.Resume resume -> resume(resume);
+        case RequestAction.Cancel cancel -> cancel(cancel);
+        case RequestAction.Emit emit -> emit(emit);
+        case RequestAction.Finish finish -> outcome = finish.outcome();
+      }
+    }
+  }
+
+  private AttemptKey key(final int attempt) {
+    return new AttemptKey(spec.id(), attempt);
+  }
+
+  private void dispatch(final RequestAction.Dispatch action) {
+    attempts.put(action.attempt(), action.endpoint());
+    final Optional<Vm> vm = directory.find(action.endpoint());
+    if (vm.isEmpty()) {
+      events.add(
+          new RequestEvent.Refused(
+              action.attempt(), RefusalKind.UNREACHABLE, 0, null, "the endpoint is gone"));
+      return;
+    }
+    links
+        .link(action.endpoint())
+        .dispatch(vm.get(), key(action.attempt()), message(action), events);
+  }
+
+  private Dispatch.Builder message(final RequestAction.Dispatch action) {
+    return Dispatch.newBuilder()
+        .setRequest(spec.id().value())
+        .setAttempt(action.attempt())
+        .setOrganisation(spec.organisation().value())
+        .setService(spec.service().name().value())
+        .setKind(spec.kind())
+        .setWorkClass(spec.workClass().name())
+        .setDeadlineMs((int) action.remainingMs())
+        .setFirstTokenMs((int) action.firstTokenMs())
+        .setChat(spec.chat())
+        .setPromptTokens(spec.promptTokens())
+        .setExpectedOutputTokens(spec.expectedOutputTokens())
+        .setRepeatable(spec.repeatable())
+        .setIdempotencyKey(spec.idempotencyKey())
+        .setModel(spec.model())
+        .setMethod(spec.method())
+        .setPath(spec.path())
+        .setContentType(spec.contentType())
+        .setBody(spec.body())
+        .setContinuation(action.continuation())
+        .setContinuationTokens(action.continuationTokens())
+        .setCacheExpected(action.endpoint().equals(spec.hint()))
+        .addAllLoads(links.hintsFor(action.endpoint(), LOAD_HINTS));
+  }
+
+  private void resume(final RequestAction.Resume action) {
+    attempts.put(action.attempt(), action.endpoint());
+    final Optional<Vm> vm = directory.find(action.endpoint());
+    if (vm.isEmpty()) {
+      events.add(new RequestEvent.ConnectionLost(action.attempt()));
+      return;
+    }
+    links
+        .link(action.endpoint())
+        .resume(
+            vm.get(),
+            key(action.attempt()),
+            action.nextSequence(),
+            spec.organisation().value(),
+            incarnation,
+            events);
+  }
+
+  private void cancel(final RequestAction.Cancel action) {
+    final long graceMs = callerGone ? CALLER_GONE_GRACE_MS : 0;
+    directory
+        .find(action.endpoint())
+        .ifPresent(vm -> links.link(action.endpoint()).cancel(vm, key(action.attempt()), graceMs));
+  }
+
+  private void emit(final RequestAction.Emit emit) {
+    if (callerGone) {
+      return;
+    }
+    try {
+      sink.part(emit);
+    } catch (IOException e) {
+      callerGone = true;
+      feed(new RequestEvent.CallerGone());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/router/StreamPosition.java
@@ -0,0 +1,54 @@
+package org.bulrushweir.router;
+
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.Identifiers;
+import org.bulrushweir.api.RequestId;
+
+/**
+ * Says how far a caller has followed a streamed answer. Its text form is the id of the events that
+ * callers get, and with which they resume at any router.
+ *
+ * @param endpoint the endpoint that generates the answer
+ * @param incarnation the life of its sidecar
+ * @param request the request
+ * @param attempt the attempt
+ * @param sequence the last part that the caller has
+ */
+record StreamPosition(
+    EndpointId endpoint, long incarnation, RequestId request, int attempt, int sequence) {
+
+  private static final String SEPARATOR = "~";
+  private static final int FIELDS = 5;
+  private static final int HEX_RADIX = 16;
+
+  /**
+   * Parses the text form.
+   *
+   * @param text the text
+   * @return the position
+   * @throws IllegalArgumentException if the text has another form
+   */
+  static StreamPosition parse(final String text) {
+    final String[] fields = text.split(SEPARATOR);
+    if (fields.length != FIELDS || !Identifiers.isValid(fields[0])) {
+      throw new IllegalArgumentException("not the id of an event of this fleet: " + text);
+    }
+    return new StreamPosition(
+        new EndpointId(fields[0]),
+        Long.parseUnsignedLong(fields[1], HEX_RADIX),
+        RequestId.parse(fields[2]),
+        Integer.parseInt(fields[3]),
+        Integer.parseInt(fields[4]));
+  }
+
+  @Override
+  public String toString() {
+    return String.join(
+        SEPARATOR,
+        endpoint.value(),
+        Long.toHexString(incarnation),
+        request.toString(),
+        Integer.toString(attempt),
+        Integer.toString(sequence));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/settings/SettingsLoader.java
@@ -0,0 +1,99 @@
+package org.bulrushweir.settings;
+
+import okhttp3.HttpUrl;
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.Identifiers;
+import org.bulrushweir.api.InvalidInputException;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.toml.TomlReader;
+
+/** Reads and checks the settings of a process. */
+public final class SettingsLoader {
+
+  private static final long DEFAULT_PLATFORM_TIMEOUT_MS = 1_000;
+  private static final long MAXIMUM_PLATFORM_TIMEOUT_MS = 60_000;
+
+  private final FindingCollector findings = new FindingCollector();
+  private final TomlReader root;
+
+  private SettingsLoader(final String source, final String text) {
+    this.root = TomlReader.parse(source, text, findings);
+  }
+
+  /**
+   * Reads the settings of a router.
+   *
+   * @param source the name of the file, used in findings
+   * @param text the TOML text
+   * @return the settings
+   * @throws InvalidInputException with all findings, if there are any
+   */
+  public static ProcessSettings loadRouter(final String source, final String text) {
+    return new SettingsLoader(source, text).load(false);
+  }
+
+  /**
+   * Reads the settings of a sidecar.
+   *
+   * @param source the name of the file, used in findings
+   * @param text the TOML text
+   * @return the settings
+   * @throws InvalidInputException with all findings, if there are any
+   */
+  public static ProcessSettings loadSidecar(final String source, final String text) {
+    return new SettingsLoader(source, text).load(true);
+  }
+
+  private ProcessSettings load(final boolean sidecar) {
+    findings.throwIfAny();
+    final String node = name("node");
+    final String zone = name("zone");
+    final SocketAddressSettings peer = SocketAddressSettings.read(root.table("peer"));
+    final SocketAddressSettings http = SocketAddressSettings.read(root.table("http"));
+    final TomlReader platform = root.table("platform");
+    final HttpUrl platformUrl = url(platform, "url");
+    final long timeoutMs =
+        platform.integer("timeout_ms", DEFAULT_PLATFORM_TIMEOUT_MS, 1, MAXIMUM_PLATFORM_TIMEOUT_MS);
+    final TomlReader log = root.table("log");
+    final LogFormat format = log.choice("format", LogFormat.class, LogFormat.TEXT);
+    final LogLevel level = log.choice("level", LogLevel.class, LogLevel.INFO);
+    String service = "";
+    HttpUrl endpointUrl = null;
+    if (sidecar) {
+      service = name("service");
+      endpointUrl = url(root.table("endpoint"), "url");
+    }
+    root.finish();
+    findings.throwIfAny();
+    return new ProcessSettings(
+        new NodeId(node),
+        new ZoneName(zone),
+        peer,
+        http,
+        platformUrl,
+        timeoutMs,
+        format,
+        level,
+        sidecar ? new ServiceName(service) : null,
+        endpointUrl);
+  }
+
+  private String name(final String key) {
+    final String text = root.text(key);
+    if (!text.isEmpty() && !Identifiers.isValid(text)) {
+      root.reportAt(key, "\"" + text + "\" is not a valid name");
+    }
+    return text;
+  }
+
+  private static HttpUrl url(final TomlReader reader, final String key) {
+    final String text = reader.text(key);
+    final HttpUrl url = HttpUrl.parse(text);
+    if (url == null && !text.isEmpty()) {
+      reader.reportAt(key, "\"" + text + "\" is not a URL such as http://127.0.0.1:8080");
+    }
+    return url;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/ClaimStore.java
@@ -0,0 +1,85 @@
+package org.bulrushweir.sidecar;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.concurrent.CompletionException;
+import org.bulrushweir.platform.CommitResult;
+import org.bulrushweir.platform.PlatformException;
+import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.platform.Row;
+import org.bulrushweir.platform.Transaction;
+import org.bulrushweir.runonce.ClaimEvent;
+import org.bulrushweir.runonce.ClaimRow;
+
+/** Reads and writes the row of one claim, turning what the platform says into events. */
+final class ClaimStore {
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final PlatformStore store;
+  private final String key;
+
+  /**
+   * Creates the store.
+   *
+   * @param store the platform's store
+   * @param key the key of the claim's row
+   */
+  ClaimStore(final PlatformStore store, final String key) {
+    this.store = store;
+    this.key = key;
+  }
+
+  /**
+   * Reads the row.
+   *
+   * @return what was found, or that the table failed
+   */
+  ClaimEvent read() {
+    try {
+      return found(store.read(key).join());
+    } catch (CompletionException e) {
+      return failed(e);
+    }
+  }
+
+  /**
+   * Writes the row.
+   *
+   * @param row the new row
+   * @param version the version it must have now, zero if it must be absent
+   * @return that it was written, what was found instead, or that the table failed
+   */
+  ClaimEvent write(final ClaimRow row, final long version) {
+    try {
+      final String json = mapper.writeValueAsString(row);
+      final CommitResult result =
+          store.commit(Transaction.replace(new Row(key, version, ""), json)).join();
+      return switch (result) {
+        case CommitResult.Committed committed -> new ClaimEvent.Written(committed.version());
+        case CommitResult.Conflict conflict -> found(conflict.current());
+      };
+    } catch (CompletionException e) {
+      return failed(e);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a claim can't be written", e);
+    }
+  }
+
+  private ClaimEvent found(final Row row) {
+    if (!row.exists()) {
+      return new ClaimEvent.Found(null, 0);
+    }
+    try {
+      return new ClaimEvent.Found(mapper.readValue(row.value(), ClaimRow.class), row.version());
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the claim " + key + " is malformed", e);
+    }
+  }
+
+  private static ClaimEvent failed(final CompletionException failure) {
+    if (failure.getCause() instanceof PlatformException platformFailure) {
+      return new ClaimEvent.TableFailed(platformFailure.effectPossible());
+    }
+    throw failure;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/wire/PeerChannel.java
@@ -0,0 +1,59 @@
+package org.bulrushweir.wire;
+
+import io.netty.channel.Channel;
+import java.util.function.LongSupplier;
+import org.bulrushweir.wire.generated.Envelope;
+
+/** Sends messages over one connection to a peer. */
+public final class PeerChannel {
+
+  private final Channel channel;
+  private final PeerIdentity remote;
+  private final LongSupplier configNumber;
+
+  /**
+   * Wraps a connection whose handshake is done.
+   *
+   * @param channel the connection
+   * @param remote who is at the other end
+   * @param configNumber the number that rides on every message
+   */
+  PeerChannel(final Channel channel, final PeerIdentity remote, final LongSupplier configNumber) {
+    this.channel = channel;
+    this.remote = remote;
+    this.configNumber = configNumber;
+  }
+
+  /**
+   * Sends a message; it is lost if the connection ends.
+   *
+   * @param envelope the message, without configuration number
+   */
+  public void send(final Envelope.Builder envelope) {
+    channel.writeAndFlush(
+        envelope.setConfigNumber(configNumber.getAsLong()).build(), channel.voidPromise());
+  }
+
+  /**
+   * Returns who is at the other end.
+   *
+   * @return the peer
+   */
+  public PeerIdentity remote() {
+    return remote;
+  }
+
+  /**
+   * Tells whether the connection is open.
+   *
+   * @return true while it is open
+   */
+  public boolean isOpen() {
+    return channel.isActive();
+  }
+
+  /** Closes the connection. */
+  public void close() {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/wire/PeerHandler.java
@@ -0,0 +1,104 @@
+package org.bulrushweir.wire;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.bulrushweir.api.Identifiers;
+import org.bulrushweir.api.Incarnation;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.wire.generated.Envelope;
+import org.bulrushweir.wire.generated.Hello;
+
+/** Exchanges hellos, then passes messages on to a listener. */
+final class PeerHandler extends SimpleChannelInboundHandler<Envelope> {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final PeerIdentity self;
+  private final LongSupplier configNumber;
+  private final PeerListener listener;
+  private final CompletableFuture<PeerChannel> opened;
+  private PeerChannel peer;
+
+  /**
+   * Creates a handler for one connection.
+   *
+   * @param self who this process is
+   * @param configNumber the number that rides on every message
+   * @param listener hears the messages
+   * @param opened completes when the peer's hello has come
+   */
+  PeerHandler(
+      final PeerIdentity self,
+      final LongSupplier configNumber,
+      final PeerListener listener,
+      final CompletableFuture<PeerChannel> opened) {
+    this.self = self;
+    this.configNumber = configNumber;
+    this.listener = listener;
+    this.opened = opened;
+  }
+
+  @Override
+  public void channelActive(final ChannelHandlerContext context) {
+    final Hello hello =
+        Hello.newBuilder()
+            .setNode(self.node().value())
+            .setIncarnation(self.incarnation().value())
+            .setZone(self.zone().value())
+            .build();
+    context.writeAndFlush(
+        Envelope.newBuilder().setConfigNumber(configNumber.getAsLong()).setHello(hello).build());
+  }
+
+  @Override
+  protected void channelRead0(final ChannelHandlerContext context, final Envelope envelope) {
+    if (peer == null) {
+      greet(context, envelope);
+      return;
+    }
+    listener.received(peer, envelope);
+  }
+
+  private void greet(final ChannelHandlerContext context, final Envelope envelope) {
+    final Hello hello = envelope.getHello();
+    final boolean valid =
+        envelope.hasHello()
+            && Identifiers.isValid(hello.getNode())
+            && Identifiers.isValid(hello.getZone());
+    if (!valid) {
+      logger.atWarning().log(
+          "closing the connection from %s: its first message is not a valid hello",
+          context.channel().remoteAddress());
+      context.close();
+      return;
+    }
+    final PeerIdentity remote =
+        new PeerIdentity(
+            new NodeId(hello.getNode()),
+            new Incarnation(hello.getIncarnation()),
+            new ZoneName(hello.getZone()));
+    peer = new PeerChannel(context.channel(), remote, configNumber);
+    opened.complete(peer);
+    listener.received(peer, envelope);
+  }
+
+  @Override
+  public void channelInactive(final ChannelHandlerContext context) {
+    opened.completeExceptionally(new IOException("the peer closed the connection"));
+    if (peer != null) {
+      listener.closed(peer);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+    logger.atWarning().log(
+        "closing the connection with %s: %s", context.channel().remoteAddress(), cause);
+    context.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between the fleet's processes: length-prefixed protobuf envelopes over TCP. */
+package org.bulrushweir.wire;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests that run the real binary as separate processes. */
+package org.bulrushweir.process;
