--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -15,10 +15,10 @@
  * Decides which attempts an endpoint accepts and which one runs next. Not safe for use by many
  * threads.
  *
- * <p>An attempt is accepted only while the work that the endpoint carries does not exceed the load
- * multiple times the pool's mean, so that one endpoint never carries more than the multiple plus
- * one attempt. Among the accepted ones, classes go by priority, waiting attempts gain priority with
- * time, and organisations within a class share by weight.
+ * <p>An attempt is accepted only while the work that the endpoint carries does not exceed what it
+ * may carry, so that it never carries more than that plus one attempt. Among the accepted ones,
+ * classes go by priority, waiting attempts gain priority with time, and organisations within a
+ * class share by weight.
  */
 public final class AdmissionController {
 
@@ -76,6 +76,15 @@
     return load;
   }
 
+  /**
+   * Tells whether any attempt is running.
+   *
+   * @return true if a slot is taken
+   */
+  public boolean isRunning() {
+    return !running.isEmpty();
+  }
+
   /**
    * Counts the attempts that are queued or running.
    *
@@ -89,19 +98,19 @@
    * Offers an attempt.
    *
    * @param item the attempt
-   * @param meanLoad the mean load of the pool, in work units
+   * @param allowedLoad how much work the endpoint may carry, in work units
    * @return whether it is accepted
    */
-  public AdmissionDecision offer(final WorkItem item, final double meanLoad) {
+  public AdmissionDecision offer(final WorkItem item, final double allowedLoad) {
     if (leaving) {
-      return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0);
+      return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0, null);
     }
-    if (load > settings.loadMultiple() * meanLoad) {
-      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item));
+    if (load > allowedLoad) {
+      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item), null);
     }
     final long waitMs = estimatedWaitMs(item);
     if (item.arrivedMs() + waitMs > item.startByMs()) {
-      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs);
+      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs, null);
     }
     classes.put(item.workClass().name(), item.workClass());
     queues.computeIfAbsent(item.workClass().name(), name -> new FairQueue()).add(item);
--- a/src/main/java/org/bulrushweir/admission/AdmissionDecision.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionDecision.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.admission;
 
+import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.delivery.RefusalKind;
 
 /** Tells whether an attempt is accepted. */
@@ -13,6 +14,8 @@
    *
    * @param kind why
    * @param retryAfterMs when another try may succeed, in milliseconds
+   * @param movedTo where the chat's cache is, null if unknown
    */
-  record Refused(RefusalKind kind, long retryAfterMs) implements AdmissionDecision {}
+  record Refused(RefusalKind kind, long retryAfterMs, EndpointId movedTo)
+      implements AdmissionDecision {}
 }
--- /dev/null
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -0,0 +1,271 @@
+package org.bulrushweir.admission;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bulrushweir.affinity.ChatLocation;
+import org.bulrushweir.affinity.ChatMemory;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.Incarnation;
+import org.bulrushweir.delivery.RefusalKind;
+import org.bulrushweir.membership.EndpointReport;
+import org.bulrushweir.membership.EndpointTable;
+import org.bulrushweir.membership.LoadCeiling;
+import org.bulrushweir.membership.PaceMeter;
+import org.bulrushweir.membership.PoolStatistics;
+
+/**
+ * Decides everything about the work of one endpoint: what is accepted, what runs next, what peers
+ * are told. All requests for the endpoint pass it, so what it decides holds whatever routers
+ * believe. Not safe for use by many threads.
+ */
+public final class EndpointGate {
+
+  /** How long after its start an endpoint waits to hear of its peers, in milliseconds. */
+  private static final long FIRST_REPORTS_MS = EndpointTable.FRESH_MS;
+
+  /** The endpoint. */
+  private final EndpointId self;
+
+  /** The life of the sidecar. */
+  private final Incarnation incarnation;
+
+  /** The queue and the slots. */
+  private final AdmissionController admission;
+
+  /** Where chats ran last. */
+  private final ChatMemory memory;
+
+  /** Measures the endpoint's time per token. */
+  private final PaceMeter pace = new PaceMeter();
+
+  /** Computes how much work the endpoint may carry. */
+  private final LoadCeiling ceiling = new LoadCeiling();
+
+  /** The chats of the attempts that are queued or running. */
+  private final Map<AttemptKey, Long> chats = new HashMap<>();
+
+  /** When the sidecar started, in milliseconds. */
+  private final long startMs;
+
+  /** The settings. */
+  private AdmissionSettings settings;
+
+  /** How many reports were made. */
+  private int reports;
+
+  /**
+   * Creates the gate of an idle endpoint.
+   *
+   * @param self the endpoint
+   * @param incarnation the life of the sidecar
+   * @param settings the settings
+   * @param memory where chats ran last
+   * @param nowMs the current time
+   */
+  public EndpointGate(
+      final EndpointId self,
+      final Incarnation incarnation,
+      final AdmissionSettings settings,
+      final ChatMemory memory,
+      final long nowMs) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.settings = settings;
+    this.admission = new AdmissionController(settings);
+    this.memory = memory;
+    this.startMs = nowMs;
+  }
+
+  /**
+   * Changes the settings.
+   *
+   * @param newSettings the settings from now on
+   */
+  public void reconfigure(final AdmissionSettings newSettings) {
+    settings = newSettings;
+    admission.reconfigure(newSettings);
+  }
+
+  /** Refuses all new attempts from now on. */
+  public void leave() {
+    admission.leave();
+  }
+
+  /**
+   * Tells whether the endpoint is leaving.
+   *
+   * @return true after {@link #leave()}
+   */
+  public boolean isLeaving() {
+    return admission.isLeaving();
+  }
+
+  /**
+   * Counts the attempts that are queued or running.
+   *
+   * @return the number of attempts
+   */
+  public int inFlight() {
+    return admission.inFlight();
+  }
+
+  /**
+   * Returns the work that the endpoint carries.
+   *
+   * @return the load in work units
+   */
+  public long load() {
+    return admission.load();
+  }
+
+  /**
+   * Offers an attempt.
+   *
+   * @param offer the attempt
+   * @param pool what is known of the endpoint's pool, with the endpoint itself
+   * @return whether it is accepted
+   */
+  public AdmissionDecision offer(final Offer offer, final PoolStatistics pool) {
+    final Optional<ChatLocation> location =
+        offer.chat() == 0 ? Optional.empty() : memory.find(offer.chat());
+    final Optional<EndpointId> elsewhere = elsewhere(offer, location);
+    if (elsewhere.isPresent() && !admission.isLeaving()) {
+      return new AdmissionDecision.Refused(RefusalKind.MOVED, 0, elsewhere.get());
+    }
+    final WorkItem item =
+        new WorkItem(
+            offer.key(),
+            offer.organisation(),
+            offer.workClass(),
+            cost(offer, location),
+            offer.arrivedMs(),
+            offer.startByMs());
+    final AdmissionDecision decision = admission.offer(item, allowedLoad(pool, offer.arrivedMs()));
+    if (decision instanceof AdmissionDecision.Admitted && offer.chat() != 0) {
+      chats.put(offer.key(), offer.chat());
+    }
+    return decision;
+  }
+
+  /** Finds the other endpoint that a chat has moved to, if it makes sense to send it there. */
+  private Optional<EndpointId> elsewhere(final Offer offer, final Optional<ChatLocation> location) {
+    if (!offer.isFirstAttempt() || offer.cacheExpected()) {
+      return Optional.empty();
+    }
+    return location.map(ChatLocation::endpoint).filter(endpoint -> !endpoint.equals(self));
+  }
+
+  private long cost(final Offer offer, final Optional<ChatLocation> location) {
+    if (offer.chat() == 0) {
+      return WorkEstimator.SERVICE_CALL_UNITS;
+    }
+    final boolean here = location.isPresent() && location.get().endpoint().equals(self);
+    final int cached =
+        here ? location.get().tokens() : offer.cacheExpected() ? offer.promptTokens() : 0;
+    return WorkEstimator.chat(offer.promptTokens(), cached, offer.outputTokens());
+  }
+
+  /**
+   * Computes how much work the endpoint may carry. While it has not heard of the peers that it must
+   * have, it takes one attempt at a time.
+   */
+  private double allowedLoad(final PoolStatistics pool, final long nowMs) {
+    if (Double.isInfinite(settings.loadMultiple())) {
+      return Double.POSITIVE_INFINITY;
+    }
+    ceiling.updateWeight(
+        pace.paceMicros(admission.isRunning(), nowMs), pool.medianPaceMicros(), nowMs);
+    if (pool.known() > 1 && pool.members() <= 1 && nowMs - startMs < FIRST_REPORTS_MS) {
+      return 0;
+    }
+    return ceiling.allowedLoad(settings.loadMultiple(), pool);
+  }
+
+  /**
+   * Takes the attempt that is to run next, if a slot is free for it.
+   *
+   * @param nowMs the current time
+   * @return the attempt, which counts as running from now on
+   */
+  public Optional<WorkItem> startNext(final long nowMs) {
+    return admission.startNext(nowMs);
+  }
+
+  /**
+   * Takes note of a token.
+   *
+   * @param intervalMs how long it took since the one before it in the same answer
+   * @param nowMs the current time
+   */
+  public void token(final double intervalMs, final long nowMs) {
+    pace.token(intervalMs, nowMs);
+  }
+
+  /**
+   * Takes note that a running attempt has ended.
+   *
+   * @param key the attempt
+   * @param cachedTokens how many tokens of its chat the endpoint has in its cache now
+   * @param nowMs the current time
+   */
+  public void finish(final AttemptKey key, final int cachedTokens, final long nowMs) {
+    final Long chat = chats.remove(key);
+    if (chat != null && cachedTokens > 0) {
+      memory.remember(chat, new ChatLocation(self, cachedTokens, nowMs));
+    }
+    admission.finish(key, nowMs);
+  }
+
+  /**
+   * Takes an attempt out of the queue.
+   *
+   * @param key the attempt
+   * @return true if it was queued and will not run
+   */
+  public boolean cancelQueued(final AttemptKey key) {
+    chats.remove(key);
+    return admission.cancelQueued(key);
+  }
+
+  /**
+   * Takes out of the queue what can no longer start in time.
+   *
+   * @param nowMs the current time
+   * @return the attempts, which will not run
+   */
+  public List<WorkItem> expire(final long nowMs) {
+    final List<WorkItem> expired = admission.expire(nowMs);
+    expired.forEach(item -> chats.remove(item.key()));
+    return expired;
+  }
+
+  /**
+   * Takes note that a chat whose home is here ran elsewhere.
+   *
+   * @param chat the chat's hash
+   * @param endpoint where it ran
+   * @param nowMs the current time
+   */
+  public void moved(final long chat, final EndpointId endpoint, final long nowMs) {
+    memory.remember(chat, new ChatLocation(endpoint, 0, nowMs));
+  }
+
+  /**
+   * Makes a report for peers.
+   *
+   * @param nowMs the current time
+   * @return the report
+   */
+  public EndpointReport report(final long nowMs) {
+    reports++;
+    return new EndpointReport(
+        EndpointTable.key(self),
+        incarnation,
+        reports,
+        admission.isLeaving(),
+        admission.load(),
+        pace.paceMicros(admission.isRunning(), nowMs));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/membership/PoolStatistics.java
@@ -0,0 +1,11 @@
+package org.bulrushweir.membership;
+
+/**
+ * Sums up what is known of the endpoints of a service.
+ *
+ * @param known how many endpoints the service has, heard of or only listed
+ * @param members how many endpoints were heard of lately, with the asking one
+ * @param meanLoad their mean load, in work units
+ * @param medianPaceMicros the median time per token of those that report one, zero if none does
+ */
+public record PoolStatistics(int known, int members, double meanLoad, int medianPaceMicros) {}
--- a/src/main/java/org/bulrushweir/node/ConfigService.java
+++ b/src/main/java/org/bulrushweir/node/ConfigService.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.bulrushweir.api.ConfigNumber;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.configuration.AcceptedConfig;
@@ -24,7 +25,6 @@
 import org.bulrushweir.platform.PlatformStore;
 import org.bulrushweir.platform.Row;
 import org.bulrushweir.wire.PeerChannel;
-import org.bulrushweir.wire.generated.ConfigRequest;
 import org.bulrushweir.wire.generated.ConfigText;
 import org.bulrushweir.wire.generated.Envelope;
 
@@ -32,30 +32,42 @@
 public final class ConfigService implements KernelService {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long POLL_INTERVAL_MS = 1_000;
+
+  /** How long a peer may take to send a text, in milliseconds. */
+  private static final long FETCH_TIMEOUT_MS = 500;
+
+  /** How often the head is read while no configuration is known, in milliseconds. */
+  private static final long FIRST_POLL_MS = 250;
 
   private final ConfigMachine machine = new ConfigMachine();
-  private final Map<NodeId, PeerChannel> channels = new HashMap<>();
+  private final Map<NodeId, ConfigSource> sources = new HashMap<>();
   private final List<Consumer<AcceptedConfig>> listeners = new CopyOnWriteArrayList<>();
   private final ObjectMapper mapper = new ObjectMapper();
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().name("configuration").daemon().factory());
   private final PlatformStore store;
+  private final RandomGenerator random;
+  private final long pollIntervalMs;
   private volatile AcceptedConfig inForce;
 
   /**
    * Creates the service.
    *
    * @param store the platform's store
+   * @param random spreads the reads of all processes over time
+   * @param pollIntervalMs how often the head is read at the least, in milliseconds
    */
-  public ConfigService(final PlatformStore store) {
+  public ConfigService(
+      final PlatformStore store, final RandomGenerator random, final long pollIntervalMs) {
     this.store = store;
+    this.random = random;
+    this.pollIntervalMs = pollIntervalMs;
   }
 
   @Override
   public void start() {
-    executor.scheduleWithFixedDelay(this::pollHead, 0, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    executor.execute(this::pollRepeatedly);
   }
 
   @Override
@@ -95,18 +107,17 @@
   /**
    * Takes note of the number that a peer's message carried.
    *
-   * @param channel the connection with the peer
+   * @param source the peer
    * @param number the number
    */
-  public void numberSeen(final PeerChannel channel, final long number) {
+  public void numberSeen(final ConfigSource source, final long number) {
     if (number <= number()) {
       return;
     }
     executor.execute(
         () -> {
-          final NodeId peer = channel.remote().node();
-          channels.put(peer, channel);
-          handle(new ConfigEvent.NumberSeen(new ConfigNumber(number), peer));
+          sources.put(source.node(), source);
+          handle(new ConfigEvent.NumberSeen(new ConfigNumber(number), source.node()));
         });
   }
 
@@ -144,6 +155,14 @@
                     .setText(config.text())));
   }
 
+  /** Reads the head often while no configuration is known, then seldom and at random times. */
+  private void pollRepeatedly() {
+    pollHead();
+    final long delayMs =
+        inForce == null ? FIRST_POLL_MS : random.nextLong(pollIntervalMs / 2, pollIntervalMs + 1);
+    executor.schedule(this::pollRepeatedly, delayMs, TimeUnit.MILLISECONDS);
+  }
+
   private void pollHead() {
     try {
       final Row row = store.read(ConfigHead.ROW_KEY).join();
@@ -187,14 +206,14 @@
   }
 
   private void fetchFromPeer(final NodeId peer) {
-    channels.get(peer).send(Envelope.newBuilder().setConfigRequest(ConfigRequest.newBuilder()));
+    sources.get(peer).requestText();
     executor.schedule(
-        () -> handle(new ConfigEvent.FetchFailed()), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        () -> handle(new ConfigEvent.FetchFailed()), FETCH_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
   private void adopt(final AcceptedConfig config) {
     inForce = config;
-    channels.clear();
+    sources.clear();
     logger.atInfo().log("configuration %s is in force", config.number());
     listeners.forEach(listener -> listener.accept(config));
   }
--- /dev/null
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -0,0 +1,349 @@
+package org.bulrushweir.node;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.membership.AgedReport;
+import org.bulrushweir.membership.ContactLog;
+import org.bulrushweir.membership.EndpointInfo;
+import org.bulrushweir.membership.EndpointReport;
+import org.bulrushweir.membership.EndpointTable;
+import org.bulrushweir.membership.GossipMessage;
+import org.bulrushweir.membership.GossipSettings;
+import org.bulrushweir.membership.PeerPicker.Peer;
+import org.bulrushweir.membership.PoolStatistics;
+import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.platform.Vm;
+import org.bulrushweir.platform.VmRole;
+import org.bulrushweir.platform.VmState;
+import org.bulrushweir.routing.EndpointView;
+import org.bulrushweir.wire.generated.Report;
+
+/**
+ * Keeps what this process knows of the fleet: the platform's list of VMs, which lags and goes on
+ * unchanged while the platform is down, and what sidecars report, which is fresh.
+ */
+public final class FleetService implements KernelService {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How often old reports are forgotten, in milliseconds. */
+  private static final long FORGET_INTERVAL_MS = 1_000;
+
+  /** The latest reports; guarded by itself. */
+  private final EndpointTable table;
+
+  /** Which endpoints could not be reached; guarded by the table. */
+  private final ContactLog contacts = new ContactLog();
+
+  /** Polls the list of VMs. */
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().name("fleet").daemon().factory());
+
+  /** The platform's store. */
+  private final PlatformStore store;
+
+  /** The clock. */
+  private final Clock clock;
+
+  /** How often the list of VMs is read, in milliseconds. */
+  private final long pollIntervalMs;
+
+  /** The last list of VMs, by name. */
+  private volatile Map<String, Vm> vms = Map.of();
+
+  /**
+   * Creates the service.
+   *
+   * @param store the platform's store
+   * @param clock the clock
+   * @param random breaks ties
+   * @param pollIntervalMs how often the list of VMs is read, in milliseconds
+   */
+  public FleetService(
+      final PlatformStore store,
+      final Clock clock,
+      final RandomGenerator random,
+      final long pollIntervalMs) {
+    this.store = store;
+    this.clock = clock;
+    this.pollIntervalMs = pollIntervalMs;
+    this.table = new EndpointTable(GossipSettings.DEFAULT, random);
+  }
+
+  @Override
+  public void start() {
+    executor.scheduleWithFixedDelay(this::poll, 0, pollIntervalMs, TimeUnit.MILLISECONDS);
+    executor.scheduleWithFixedDelay(
+        this::forgetSilent, FORGET_INTERVAL_MS, FORGET_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  private void poll() {
+    try {
+      final Map<String, Vm> listed = new HashMap<>();
+      store.vms().join().forEach(vm -> listed.put(vm.name(), vm));
+      vms = Map.copyOf(listed);
+    } catch (RuntimeException e) {
+      logger.atFine().log("the list of VMs can't be read: %s", e.getMessage());
+    }
+  }
+
+  private void forgetSilent() {
+    synchronized (table) {
+      table.forgetSilent(clock.nowMs());
+    }
+  }
+
+  /**
+   * Lists the VMs.
+   *
+   * @return the last list that could be read
+   */
+  public List<Vm> vms() {
+    return List.copyOf(vms.values());
+  }
+
+  /**
+   * Lists the processes that this one may talk to.
+   *
+   * @param self this process
+   * @return the peers on listed VMs
+   */
+  public List<Peer> peers(final NodeId self) {
+    final List<Peer> peers = new ArrayList<>();
+    for (final Vm vm : vms.values()) {
+      if (!vm.name().equals(self.value())) {
+        peers.add(
+            new Peer(new NodeId(vm.name()), vm.host(), vm.peerPort(), new ZoneName(vm.zone())));
+      }
+    }
+    return peers;
+  }
+
+  /**
+   * Finds an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @return its description, if it is listed or was heard of
+   */
+  public Optional<EndpointInfo> find(final EndpointId endpoint) {
+    final Vm vm = vms.get(endpoint.value());
+    if (vm != null && vm.role() == VmRole.ENDPOINT) {
+      return Optional.of(info(vm));
+    }
+    synchronized (table) {
+      return table.infos().stream().filter(info -> info.id().equals(endpoint)).findFirst();
+    }
+  }
+
+  private static EndpointInfo info(final Vm vm) {
+    return new EndpointInfo(
+        new EndpointId(vm.name()),
+        vm.host(),
+        vm.peerPort(),
+        new ZoneName(vm.zone()),
+        new ServiceName(vm.service()));
+  }
+
+  /**
+   * Lists the endpoints of a service that take work, as far as this process knows.
+   *
+   * @param service the service
+   * @return the endpoints
+   */
+  public List<EndpointView> views(final ServiceName service) {
+    final long nowMs = clock.nowMs();
+    final List<EndpointView> views = new ArrayList<>();
+    synchronized (table) {
+      for (final EndpointInfo info : known(service).values()) {
+        final long key = EndpointTable.key(info.id());
+        final AgedReport aged = table.report(key, nowMs).orElse(null);
+        if (aged == null) {
+          views.add(new EndpointView(info.id(), key, isSuspect(info, nowMs), 0, Long.MAX_VALUE, 0));
+        } else if (!aged.report().leaving()) {
+          views.add(
+              new EndpointView(
+                  info.id(),
+                  key,
+                  isSuspect(info, nowMs),
+                  aged.report().load(),
+                  aged.ageMs(),
+                  aged.report().paceMicros()));
+        }
+      }
+    }
+    return views;
+  }
+
+  private boolean isSuspect(final EndpointInfo info, final long nowMs) {
+    return contacts.isSuspect(info.id(), nowMs);
+  }
+
+  /** Joins what is listed, unless it is leaving, with what was heard of. */
+  private Map<EndpointId, EndpointInfo> known(final ServiceName service) {
+    final Map<EndpointId, EndpointInfo> known = new HashMap<>();
+    for (final EndpointInfo info : table.infos()) {
+      if (info.service().equals(service)) {
+        known.put(info.id(), info);
+      }
+    }
+    for (final Vm vm : vms.values()) {
+      if (vm.role() != VmRole.ENDPOINT || !vm.service().equals(service.value())) {
+        continue;
+      }
+      if (vm.state() == VmState.LEAVING) {
+        known.remove(new EndpointId(vm.name()));
+      } else {
+        known.put(new EndpointId(vm.name()), info(vm));
+      }
+    }
+    return known;
+  }
+
+  /**
+   * Takes a report that rode on a message.
+   *
+   * @param report the report
+   */
+  public void learn(final Report report) {
+    learn(ReportMessages.fromWire(report));
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param report the report
+   */
+  public void learn(final AgedReport report) {
+    synchronized (table) {
+      if (table.learn(report, clock.nowMs())) {
+        describeListed(report.report());
+      }
+    }
+  }
+
+  /** Describes an endpoint from the list of VMs, which saves asking peers. */
+  private void describeListed(final EndpointReport report) {
+    for (final Vm vm : vms.values()) {
+      if (vm.role() == VmRole.ENDPOINT
+          && EndpointTable.key(new EndpointId(vm.name())) == report.key()) {
+        table.describe(info(vm));
+      }
+    }
+  }
+
+  /**
+   * Describes an endpoint to peers that ask.
+   *
+   * @param info the description
+   */
+  public void describe(final EndpointInfo info) {
+    synchronized (table) {
+      table.describe(info);
+    }
+  }
+
+  /**
+   * Returns fresh reports of a service's endpoints, to ride on a message to one of them.
+   *
+   * @param service the service
+   * @param receiver the endpoint that the message goes to
+   * @param limit how many at the most
+   * @return the reports
+   */
+  public List<Report> reportsFor(
+      final ServiceName service, final EndpointId receiver, final int limit) {
+    synchronized (table) {
+      return table.freshest(service, EndpointTable.key(receiver), limit, clock.nowMs()).stream()
+          .map(ReportMessages::toWire)
+          .toList();
+    }
+  }
+
+  /**
+   * Sums up the endpoints of a service.
+   *
+   * @param service the service
+   * @return the statistics
+   */
+  public PoolStatistics statistics(final ServiceName service) {
+    synchronized (table) {
+      return table.statistics(service, known(service).size(), clock.nowMs());
+    }
+  }
+
+  /**
+   * Returns the latest report of an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @return the report and its age, if the endpoint was heard of
+   */
+  public Optional<AgedReport> report(final EndpointId endpoint) {
+    synchronized (table) {
+      return table.report(EndpointTable.key(endpoint), clock.nowMs());
+    }
+  }
+
+  /**
+   * Composes gossip to a peer.
+   *
+   * @return the gossip
+   */
+  GossipMessage compose() {
+    synchronized (table) {
+      return table.compose(clock.nowMs());
+    }
+  }
+
+  /**
+   * Takes gossip of a peer.
+   *
+   * @param message the gossip
+   */
+  void receive(final GossipMessage message) {
+    synchronized (table) {
+      table.receive(message, clock.nowMs()).forEach(this::describeListed);
+    }
+  }
+
+  /**
+   * Takes note that an endpoint could not be reached.
+   *
+   * @param endpoint the endpoint
+   */
+  public void failed(final EndpointId endpoint) {
+    synchronized (table) {
+      contacts.failed(endpoint, clock.nowMs());
+    }
+  }
+
+  /**
+   * Takes note that an endpoint was reached.
+   *
+   * @param endpoint the endpoint
+   */
+  public void reached(final EndpointId endpoint) {
+    synchronized (table) {
+      contacts.reached(endpoint);
+    }
+  }
+}
--- a/src/main/java/org/bulrushweir/node/PeerService.java
+++ b/src/main/java/org/bulrushweir/node/PeerService.java
@@ -3,12 +3,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.bulrushweir.api.NodeId;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.settings.ProcessSettings;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerIdentity;
 import org.bulrushweir.wire.PeerListener;
 import org.bulrushweir.wire.PeerTransport;
+import org.bulrushweir.wire.generated.ConfigRequest;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.Ping;
 import org.bulrushweir.wire.generated.Pong;
@@ -108,6 +110,24 @@
     }
   }
 
+  /**
+   * Fetches texts from a peer over an open connection.
+   *
+   * @param channel the connection
+   */
+  private record ChannelSource(PeerChannel channel) implements ConfigSource {
+
+    @Override
+    public NodeId node() {
+      return channel.remote().node();
+    }
+
+    @Override
+    public void requestText() {
+      channel.send(Envelope.newBuilder().setConfigRequest(ConfigRequest.newBuilder()));
+    }
+  }
+
   /**
    * Answers the common messages, and takes note of configuration numbers.
    *
@@ -119,11 +139,16 @@
 
     @Override
     public void received(final PeerChannel channel, final Envelope envelope) {
-      configuration.numberSeen(channel, envelope.getConfigNumber());
+      if (envelope.getConfigNumber() > configuration.number()) {
+        configuration.numberSeen(new ChannelSource(channel), envelope.getConfigNumber());
+      }
       switch (envelope.getBodyCase()) {
         case PING -> pong(channel, envelope.getPing());
         case CONFIG_REQUEST -> configuration.sendText(channel);
-        case CONFIG_TEXT -> configuration.textArrived(envelope.getConfigText());
+        case CONFIG_TEXT -> {
+          configuration.textArrived(envelope.getConfigText());
+          delegate.received(channel, envelope);
+        }
         default -> delegate.received(channel, envelope);
       }
     }
--- a/src/main/java/org/bulrushweir/node/ServiceNames.java
+++ b/src/main/java/org/bulrushweir/node/ServiceNames.java
@@ -12,8 +12,11 @@
   /** The connections with peers. */
   public static final String PEERS = "peers";
 
-  /** The list of endpoints. */
-  public static final String DIRECTORY = "directory";
+  /** What the process knows of the fleet. */
+  public static final String FLEET = "fleet";
+
+  /** The exchange of reports with peers. */
+  public static final String GOSSIP = "gossip";
 
   /** The HTTP server for callers and operators. */
   public static final String HTTP = "http";
--- a/src/main/java/org/bulrushweir/process/NodeModule.java
+++ b/src/main/java/org/bulrushweir/process/NodeModule.java
@@ -5,6 +5,7 @@
 import dagger.multibindings.IntoMap;
 import dagger.multibindings.StringKey;
 import java.util.Map;
+import java.util.SplittableRandom;
 import javax.inject.Singleton;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.Incarnation;
@@ -12,7 +13,8 @@
 import org.bulrushweir.kernel.ServiceFactory;
 import org.bulrushweir.kernel.SystemClock;
 import org.bulrushweir.node.ConfigService;
-import org.bulrushweir.node.DirectoryService;
+import org.bulrushweir.node.FleetService;
+import org.bulrushweir.node.GossipService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.node.PlatformService;
 import org.bulrushweir.node.ServiceNames;
@@ -50,20 +52,59 @@
     return services -> new PlatformService(settings);
   }
 
+  /**
+   * Provides the factory of the configuration.
+   *
+   * @param settings the process's settings
+   * @return the factory
+   */
   @Provides
   @IntoMap
   @StringKey(ServiceNames.CONFIGURATION)
-  static ServiceFactory configuration() {
+  static ServiceFactory configuration(final ProcessSettings settings) {
+    return services ->
+        new ConfigService(
+            services.find(ServiceNames.PLATFORM, PlatformService.class).store(),
+            new SplittableRandom(),
+            settings.configPollMs());
+  }
+
+  /**
+   * Provides the factory of what the process knows of the fleet.
+   *
+   * @param settings the process's settings
+   * @param clock the clock
+   * @return the factory
+   */
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.FLEET)
+  static ServiceFactory fleet(final ProcessSettings settings, final Clock clock) {
     return services ->
-        new ConfigService(services.find(ServiceNames.PLATFORM, PlatformService.class).store());
+        new FleetService(
+            services.find(ServiceNames.PLATFORM, PlatformService.class).store(),
+            clock,
+            new SplittableRandom(),
+            settings.vmPollMs());
   }
 
+  /**
+   * Provides the factory of the exchange of reports.
+   *
+   * @param settings the process's settings
+   * @return the factory
+   */
   @Provides
   @IntoMap
-  @StringKey(ServiceNames.DIRECTORY)
-  static ServiceFactory directory() {
+  @StringKey(ServiceNames.GOSSIP)
+  static ServiceFactory gossip(final ProcessSettings settings) {
     return services ->
-        new DirectoryService(services.find(ServiceNames.PLATFORM, PlatformService.class).store());
+        new GossipService(
+            settings,
+            services.find(ServiceNames.FLEET, FleetService.class),
+            services.find(ServiceNames.CONFIGURATION, ConfigService.class),
+            services.find(ServiceNames.PEERS, PeerService.class),
+            new SplittableRandom());
   }
 
   /**
--- a/src/main/java/org/bulrushweir/process/RouterModule.java
+++ b/src/main/java/org/bulrushweir/process/RouterModule.java
@@ -4,11 +4,11 @@
 import dagger.Provides;
 import dagger.multibindings.IntoMap;
 import dagger.multibindings.StringKey;
-import java.util.Random;
+import java.util.SplittableRandom;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.kernel.ServiceFactory;
 import org.bulrushweir.node.ConfigService;
-import org.bulrushweir.node.DirectoryService;
+import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.router.LinkService;
@@ -22,11 +22,21 @@
 
   private RouterModule() {}
 
+  /**
+   * Provides the factory of the links to endpoints.
+   *
+   * @param clock the clock
+   * @return the factory
+   */
   @Provides
   @IntoMap
   @StringKey(ServiceNames.LINKS)
   static ServiceFactory links(final Clock clock) {
-    return services -> new LinkService(services.find(ServiceNames.PEERS, PeerService.class), clock);
+    return services ->
+        new LinkService(
+            services.find(ServiceNames.PEERS, PeerService.class),
+            clock,
+            services.find(ServiceNames.FLEET, FleetService.class));
   }
 
   /**
@@ -46,9 +56,9 @@
             services.find(ServiceNames.CONFIGURATION, ConfigService.class),
             new RequestDriver(
                 services.find(ServiceNames.LINKS, LinkService.class),
-                services.find(ServiceNames.DIRECTORY, DirectoryService.class),
+                services.find(ServiceNames.FLEET, FleetService.class),
                 clock,
-                new Random()),
+                new SplittableRandom()),
             clock);
   }
 }
--- a/src/main/java/org/bulrushweir/process/SidecarModule.java
+++ b/src/main/java/org/bulrushweir/process/SidecarModule.java
@@ -5,15 +5,13 @@
 import dagger.multibindings.IntoMap;
 import dagger.multibindings.StringKey;
 import org.bulrushweir.api.Clock;
-import org.bulrushweir.engine.EngineClient;
 import org.bulrushweir.kernel.ServiceFactory;
 import org.bulrushweir.node.ConfigService;
-import org.bulrushweir.node.DirectoryService;
+import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.node.PlatformService;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.settings.ProcessSettings;
-import org.bulrushweir.sidecar.SidecarCore;
 import org.bulrushweir.sidecar.SidecarService;
 import org.bulrushweir.wire.PeerIdentity;
 
@@ -37,14 +35,12 @@
   static ServiceFactory sidecar(
       final ProcessSettings settings, final PeerIdentity self, final Clock clock) {
     return services ->
-        new SidecarService(
-            new SidecarCore(
-                self,
-                settings.service(),
-                clock,
-                new EngineClient(settings.endpoint()),
-                services.find(ServiceNames.PLATFORM, PlatformService.class).store(),
-                services.find(ServiceNames.DIRECTORY, DirectoryService.class)),
+        SidecarService.create(
+            settings,
+            self,
+            clock,
+            services.find(ServiceNames.PLATFORM, PlatformService.class).store(),
+            services.find(ServiceNames.FLEET, FleetService.class),
             services.find(ServiceNames.PEERS, PeerService.class),
             services.find(ServiceNames.CONFIGURATION, ConfigService.class));
   }
--- a/src/main/java/org/bulrushweir/router/EndpointLink.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLink.java
@@ -16,8 +16,9 @@
 import org.bulrushweir.delivery.RefusalKind;
 import org.bulrushweir.delivery.RequestEvent;
 import org.bulrushweir.delivery.ResumeAnswer;
+import org.bulrushweir.membership.EndpointInfo;
+import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
-import org.bulrushweir.platform.Vm;
 import org.bulrushweir.sidecar.Refusals;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerListener;
@@ -26,7 +27,6 @@
 import org.bulrushweir.wire.generated.End;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.Frame;
-import org.bulrushweir.wire.generated.LoadHint;
 import org.bulrushweir.wire.generated.Ping;
 import org.bulrushweir.wire.generated.Refusal;
 import org.bulrushweir.wire.generated.Resume;
@@ -42,7 +42,7 @@
   private final EndpointId endpoint;
   private final PeerService peers;
   private final Clock clock;
-  private final LoadListener loads;
+  private final FleetService fleet;
   private PeerChannel channel;
   private CompletableFuture<PeerChannel> connecting;
   private long lastHeardMs;
@@ -54,33 +54,33 @@
    * @param endpoint the endpoint
    * @param peers opens connections
    * @param clock the clock
-   * @param loads hears of loads
+   * @param fleet what this process knows of the fleet
    */
   EndpointLink(
       final EndpointId endpoint,
       final PeerService peers,
       final Clock clock,
-      final LoadListener loads) {
+      final FleetService fleet) {
     this.endpoint = endpoint;
     this.peers = peers;
     this.clock = clock;
-    this.loads = loads;
+    this.fleet = fleet;
   }
 
   /**
    * Sends an attempt.
    *
-   * @param vm where the endpoint is
+   * @param target where the endpoint is
    * @param key the attempt
    * @param dispatch the message
    * @param events where the attempt's events go
    */
   void dispatch(
-      final Vm vm,
+      final EndpointInfo target,
       final AttemptKey key,
       final Dispatch.Builder dispatch,
       final BlockingQueue<RequestEvent> events) {
-    connection(vm)
+    connection(target)
         .whenComplete(
             (open, failure) -> {
               if (failure != null) {
@@ -114,7 +114,7 @@
   /**
    * Asks for the rest of an answer.
    *
-   * @param vm where the endpoint is
+   * @param target where the endpoint is
    * @param key the attempt
    * @param nextSequence the first part that is missing
    * @param organisation for whom the request runs
@@ -123,14 +123,14 @@
    * @param events where the attempt's events go
    */
   void resume(
-      final Vm vm,
+      final EndpointInfo target,
       final AttemptKey key,
       final int nextSequence,
       final String organisation,
       final long incarnation,
       final BlockingQueue<RequestEvent> events) {
     final long sentTo = incarnation == 0 ? incarnationOf(key) : incarnation;
-    connection(vm)
+    connection(target)
         .whenComplete(
             (open, failure) -> {
               if (failure != null) {
@@ -175,12 +175,12 @@
   /**
    * Asks that an attempt be stopped, or never be started.
    *
-   * @param vm where the endpoint is
+   * @param target where the endpoint is
    * @param key the attempt
    * @param graceMs how long it goes on for a caller that may come back, in milliseconds
    */
-  void cancel(final Vm vm, final AttemptKey key, final long graceMs) {
-    connection(vm)
+  void cancel(final EndpointInfo target, final AttemptKey key, final long graceMs) {
+    connection(target)
         .thenAccept(
             open ->
                 open.send(
@@ -195,11 +195,11 @@
   /**
    * Sends a message that needs no answer.
    *
-   * @param vm where the endpoint is
+   * @param target where the endpoint is
    * @param envelope the message
    */
-  void send(final Vm vm, final Envelope.Builder envelope) {
-    connection(vm).thenAccept(open -> open.send(envelope));
+  void send(final EndpointInfo target, final Envelope.Builder envelope) {
+    connection(target).thenAccept(open -> open.send(envelope));
   }
 
   /**
@@ -211,18 +211,26 @@
     inFlight.remove(key);
   }
 
-  private synchronized CompletableFuture<PeerChannel> connection(final Vm vm) {
+  private synchronized CompletableFuture<PeerChannel> connection(final EndpointInfo target) {
     if (channel != null && channel.isOpen()) {
       return CompletableFuture.completedFuture(channel);
     }
     if (connecting == null || connecting.isDone()) {
-      connecting = peers.connect(vm.host(), vm.peerPort(), this);
-      connecting.thenAccept(this::opened);
+      connecting = peers.connect(target.host(), target.port(), this);
+      connecting.whenComplete(
+          (opened, failure) -> {
+            if (failure == null) {
+              opened(opened);
+            } else {
+              fleet.failed(endpoint);
+            }
+          });
     }
     return connecting;
   }
 
   private synchronized void opened(final PeerChannel newChannel) {
+    fleet.reached(endpoint);
     channel = newChannel;
     lastHeardMs = clock.nowMs();
   }
@@ -283,7 +291,7 @@
     heard(from);
     switch (envelope.getBodyCase()) {
       case ACCEPTED -> {
-        learn(envelope.getAccepted().getLoad());
+        fleet.learn(envelope.getAccepted().getReport());
         pass(
             envelope.getAccepted().getRequest(),
             envelope.getAccepted().getAttempt(),
@@ -312,14 +320,8 @@
     }
   }
 
-  private void learn(final LoadHint hint) {
-    if (Identifiers.isValid(hint.getEndpoint())) {
-      loads.loadSeen(hint);
-    }
-  }
-
   private void refused(final Refusal refusal) {
-    learn(refusal.getLoad());
+    fleet.learn(refusal.getReport());
     final EndpointId movedTo =
         Identifiers.isValid(refusal.getMovedTo()) ? new EndpointId(refusal.getMovedTo()) : null;
     pass(
@@ -344,7 +346,7 @@
   }
 
   private void ended(final End end) {
-    learn(end.getLoad());
+    fleet.learn(end.getReport());
     final AttemptEnd attemptEnd =
         switch (end.getState()) {
           case RAN -> new AttemptEnd.Ran(end.getFrames(), summary(end));
@@ -379,12 +381,12 @@
   }
 
   private void pass(final long request, final int attempt, final RequestEvent event) {
-    final InFlight target;
+    final InFlight found;
     synchronized (this) {
-      target = inFlight.get(new AttemptKey(new RequestId(request), attempt));
+      found = inFlight.get(new AttemptKey(new RequestId(request), attempt));
     }
-    if (target != null) {
-      target.events().add(event);
+    if (found != null) {
+      found.events().add(event);
     }
   }
 
--- a/src/main/java/org/bulrushweir/router/RequestDriver.java
+++ b/src/main/java/org/bulrushweir/router/RequestDriver.java
@@ -1,10 +1,9 @@
 package org.bulrushweir.router;
 
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
-import java.util.Random;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.delivery.CandidateSource;
@@ -12,11 +11,13 @@
 import org.bulrushweir.delivery.RequestMachine;
 import org.bulrushweir.delivery.RequestOutcome;
 import org.bulrushweir.delivery.ShareBudget;
-import org.bulrushweir.node.DirectoryService;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.VmState;
-import org.bulrushweir.routing.OrderedCandidates;
-import org.bulrushweir.routing.RendezvousOrder;
+import org.bulrushweir.node.FleetService;
+import org.bulrushweir.routing.CallCandidates;
+import org.bulrushweir.routing.ChatCandidates;
+import org.bulrushweir.routing.EndpointRanking;
+import org.bulrushweir.routing.EndpointView;
+import org.bulrushweir.wire.generated.ChatMoved;
+import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.Kind;
 
 /** Runs requests: chooses candidates, sets limits, drives the machine. */
@@ -30,25 +31,25 @@
   private final ShareBudget retryBudget = new ShareBudget(RETRY_SHARE, BUDGET_CAPACITY);
   private final ShareBudget hedgeBudget = new ShareBudget(HEDGE_SHARE, BUDGET_CAPACITY);
   private final LinkService links;
-  private final DirectoryService directory;
+  private final FleetService fleet;
   private final Clock clock;
-  private final Random random;
+  private final RandomGenerator random;
 
   /**
    * Creates the driver.
    *
    * @param links the links to endpoints
-   * @param directory the list of endpoints
+   * @param fleet what this process knows of the fleet
    * @param clock the clock
    * @param random spreads calls over endpoints
    */
   public RequestDriver(
       final LinkService links,
-      final DirectoryService directory,
+      final FleetService fleet,
       final Clock clock,
-      final Random random) {
+      final RandomGenerator random) {
     this.links = links;
-    this.directory = directory;
+    this.fleet = fleet;
     this.clock = clock;
     this.random = random;
   }
@@ -71,7 +72,9 @@
    * @throws InterruptedException if the thread is interrupted
    */
   RequestOutcome run(final RequestSpec spec, final AnswerSink sink) throws InterruptedException {
-    return runner(spec, new OrderedCandidates(candidates(spec)), sink).run();
+    final RequestOutcome outcome = runner(spec, candidates(spec), sink).run();
+    tellHome(spec, outcome);
+    return outcome;
   }
 
   /**
@@ -101,25 +104,35 @@
             Long.MAX_VALUE,
             MAXIMUM_ATTEMPTS);
     final RequestMachine machine = new RequestMachine(limits, candidates, retryBudget, hedgeBudget);
-    return new RequestRunner(spec, machine, links, directory, clock, sink);
+    return new RequestRunner(spec, machine, links, fleet, clock, sink);
   }
 
-  private List<EndpointId> candidates(final RequestSpec spec) {
-    final List<EndpointId> eligible =
-        new ArrayList<>(
-            directory.endpointsOf(spec.service().name()).stream()
-                .filter(vm -> vm.state() == VmState.LIVE)
-                .map(Vm::name)
-                .map(EndpointId::new)
-                .toList());
+  private CandidateSource candidates(final RequestSpec spec) {
+    final Supplier<List<EndpointView>> views = () -> fleet.views(spec.service().name());
     if (spec.kind() == Kind.CALL) {
-      Collections.shuffle(eligible, random);
-      return eligible;
+      return new CallCandidates(views, random);
     }
-    final List<EndpointId> ordered = RendezvousOrder.order(spec.chat(), eligible);
-    if (spec.hint() != null && ordered.remove(spec.hint())) {
-      ordered.addFirst(spec.hint());
+    return new ChatCandidates(spec.chat(), spec.hint(), views, spec.service().loadMultiple());
+  }
+
+  /** Tells a chat's home sidecar where the chat's cache is now, if that is elsewhere. */
+  private void tellHome(final RequestSpec spec, final RequestOutcome outcome) {
+    if (spec.kind() != Kind.CHAT || !(outcome instanceof RequestOutcome.Ran ran)) {
+      return;
+    }
+    final List<EndpointView> views = fleet.views(spec.service().name());
+    if (views.isEmpty()) {
+      return;
+    }
+    final EndpointId home = EndpointRanking.home(spec.chat(), views);
+    if (home.equals(ran.endpoint())) {
+      return;
     }
-    return ordered;
+    final ChatMoved message =
+        ChatMoved.newBuilder().setChat(spec.chat()).setEndpoint(ran.endpoint().value()).build();
+    fleet
+        .find(home)
+        .ifPresent(
+            target -> links.link(home).send(target, Envelope.newBuilder().setChatMoved(message)));
   }
 }
--- a/src/main/java/org/bulrushweir/router/RequestRunner.java
+++ b/src/main/java/org/bulrushweir/router/RequestRunner.java
@@ -16,14 +16,14 @@
 import org.bulrushweir.delivery.RequestEvent;
 import org.bulrushweir.delivery.RequestMachine;
 import org.bulrushweir.delivery.RequestOutcome;
-import org.bulrushweir.node.DirectoryService;
-import org.bulrushweir.platform.Vm;
+import org.bulrushweir.membership.EndpointInfo;
+import org.bulrushweir.node.FleetService;
 import org.bulrushweir.wire.generated.Dispatch;
 
 /** Drives the machine of one request: waits for events and carries out actions. Blocks. */
 final class RequestRunner {
 
-  private static final int LOAD_HINTS = 16;
+  private static final int MAXIMUM_REPORTS = 16;
   private static final long CALLER_GONE_GRACE_MS = 10_000;
 
   private final BlockingQueue<RequestEvent> events = new LinkedBlockingQueue<>();
@@ -31,7 +31,7 @@
   private final RequestSpec spec;
   private final RequestMachine machine;
   private final LinkService links;
-  private final DirectoryService directory;
+  private final FleetService fleet;
   private final Clock clock;
   private final AnswerSink sink;
   private RequestOutcome outcome;
@@ -44,7 +44,7 @@
    * @param spec the request
    * @param machine the request's machine
    * @param links the links to endpoints
-   * @param directory the list of endpoints
+   * @param fleet what this process knows of the fleet
    * @param clock the clock
    * @param sink takes the answer
    */
@@ -52,13 +52,13 @@
       final RequestSpec spec,
       final RequestMachine machine,
       final LinkService links,
-      final DirectoryService directory,
+      final FleetService fleet,
       final Clock clock,
       final AnswerSink sink) {
     this.spec = spec;
     this.machine = machine;
     this.links = links;
-    this.directory = directory;
+    this.fleet = fleet;
     this.clock = clock;
     this.sink = sink;
   }
@@ -128,8 +128,8 @@
 
   private void dispatch(final RequestAction.Dispatch action) {
     attempts.put(action.attempt(), action.endpoint());
-    final Optional<Vm> vm = directory.find(action.endpoint());
-    if (vm.isEmpty()) {
+    final Optional<EndpointInfo> target = fleet.find(action.endpoint());
+    if (target.isEmpty()) {
       events.add(
           new RequestEvent.Refused(
               action.attempt(), RefusalKind.UNREACHABLE, 0, null, "the endpoint is gone"));
@@ -137,7 +137,7 @@
     }
     links
         .link(action.endpoint())
-        .dispatch(vm.get(), key(action.attempt()), message(action), events);
+        .dispatch(target.get(), key(action.attempt()), message(action), events);
   }
 
   private Dispatch.Builder message(final RequestAction.Dispatch action) {
@@ -163,20 +163,20 @@
         .setContinuation(action.continuation())
         .setContinuationTokens(action.continuationTokens())
         .setCacheExpected(action.endpoint().equals(spec.hint()))
-        .addAllLoads(links.hintsFor(action.endpoint(), LOAD_HINTS));
+        .addAllReports(fleet.reportsFor(spec.service().name(), action.endpoint(), MAXIMUM_REPORTS));
   }
 
   private void resume(final RequestAction.Resume action) {
     attempts.put(action.attempt(), action.endpoint());
-    final Optional<Vm> vm = directory.find(action.endpoint());
-    if (vm.isEmpty()) {
+    final Optional<EndpointInfo> target = fleet.find(action.endpoint());
+    if (target.isEmpty()) {
       events.add(new RequestEvent.ConnectionLost(action.attempt()));
       return;
     }
     links
         .link(action.endpoint())
         .resume(
-            vm.get(),
+            target.get(),
             key(action.attempt()),
             action.nextSequence(),
             spec.organisation().value(),
@@ -186,9 +186,10 @@
 
   private void cancel(final RequestAction.Cancel action) {
     final long graceMs = callerGone ? CALLER_GONE_GRACE_MS : 0;
-    directory
+    fleet
         .find(action.endpoint())
-        .ifPresent(vm -> links.link(action.endpoint()).cancel(vm, key(action.attempt()), graceMs));
+        .ifPresent(
+            target -> links.link(action.endpoint()).cancel(target, key(action.attempt()), graceMs));
   }
 
   private void emit(final RequestAction.Emit emit) {
--- /dev/null
+++ b/src/main/java/org/bulrushweir/routing/BitMixer.java
@@ -0,0 +1,35 @@
+package org.bulrushweir.routing;
+
+/** Mixes the bits of numbers so that each bit of the result depends on all bits of the input. */
+final class BitMixer {
+
+  /** The first factor of the finalizer of SplitMix64. */
+  private static final long FACTOR_1 = 0xBF58476D1CE4E5B9L;
+
+  /** The second factor of the finalizer of SplitMix64. */
+  private static final long FACTOR_2 = 0x94D049BB133111EBL;
+
+  /** The first shift of the finalizer of SplitMix64. */
+  private static final int SHIFT_1 = 30;
+
+  /** The second shift of the finalizer of SplitMix64. */
+  private static final int SHIFT_2 = 27;
+
+  /** The third shift of the finalizer of SplitMix64. */
+  private static final int SHIFT_3 = 31;
+
+  private BitMixer() {}
+
+  /**
+   * Mixes the bits of a number.
+   *
+   * @param value the number
+   * @return the mixed number
+   */
+  static long mix(final long value) {
+    long mixed = value;
+    mixed = (mixed ^ mixed >>> SHIFT_1) * FACTOR_1;
+    mixed = (mixed ^ mixed >>> SHIFT_2) * FACTOR_2;
+    return mixed ^ mixed >>> SHIFT_3;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/routing/EndpointRanking.java
@@ -0,0 +1,155 @@
+package org.bulrushweir.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.bulrushweir.api.EndpointId;
+
+/**
+ * Ranks the endpoints that a request may try. Endpoints that most likely would refuse it or answer
+ * late go to the back, but none is left out: the endpoint itself decides.
+ */
+public final class EndpointRanking {
+
+  /** Up to which age a report of load is worth acting upon, in milliseconds. */
+  private static final long USEFUL_AGE_MS = 1_000;
+
+  /** From which multiple of the median pace on an endpoint counts as slow. */
+  private static final double SLOW_FACTOR = 2;
+
+  private EndpointRanking() {}
+
+  /** How likely an endpoint serves a request well; the lesser the better. */
+  private enum Tier {
+    GOOD,
+    LOADED,
+    SLOW,
+    SUSPECT
+  }
+
+  /**
+   * Ranks endpoints for a chat. Within a tier, the chat's last endpoint goes first, then those that
+   * rendezvous hashing assigns: an endpoint that joins or leaves moves only its own share of chats.
+   *
+   * @param chat the chat's hash
+   * @param hint where the chat's last answer came from, null if unknown
+   * @param views the endpoints
+   * @param loadMultiple the declared multiple of the mean load
+   * @return the endpoints, best first
+   */
+  public static List<EndpointId> forChat(
+      final long chat,
+      final EndpointId hint,
+      final List<EndpointView> views,
+      final double loadMultiple) {
+    final double allowedLoad = loadMultiple * meanLoad(views);
+    final int medianPace = medianPace(views);
+    final List<Ranked> ranked = new ArrayList<>(views.size());
+    for (final EndpointView view : views) {
+      final long score = view.id().equals(hint) ? Long.MAX_VALUE : score(chat, view.key());
+      ranked.add(new Ranked(view.id(), tier(view, allowedLoad, medianPace), score));
+    }
+    ranked.sort(
+        Comparator.comparing(Ranked::tier)
+            .thenComparing(Comparator.comparingLong(Ranked::score).reversed())
+            .thenComparing(Ranked::id));
+    return ranked.stream().map(Ranked::id).toList();
+  }
+
+  /**
+   * Finds the endpoint that rendezvous hashing assigns to a chat, whatever its state.
+   *
+   * @param chat the chat's hash
+   * @param views the endpoints, at least one
+   * @return the chat's home
+   */
+  public static EndpointId home(final long chat, final List<EndpointView> views) {
+    EndpointView best = views.getFirst();
+    long bestScore = Long.MIN_VALUE;
+    for (final EndpointView view : views) {
+      final long score = score(chat, view.key());
+      if (score > bestScore) {
+        best = view;
+        bestScore = score;
+      }
+    }
+    return best.id();
+  }
+
+  /**
+   * Ranks endpoints for a call that belongs to no chat: the less loaded of two random ones goes
+   * first, the others follow at random.
+   *
+   * @param views the endpoints
+   * @param random picks the endpoints
+   * @return the endpoints, best first
+   */
+  public static List<EndpointId> forCall(
+      final List<EndpointView> views, final RandomGenerator random) {
+    final List<EndpointView> shuffled = new ArrayList<>(views);
+    for (int index = shuffled.size() - 1; index > 0; index--) {
+      java.util.Collections.swap(shuffled, index, random.nextInt(index + 1));
+    }
+    shuffled.sort(Comparator.comparing(view -> view.suspect() ? Tier.SUSPECT : Tier.GOOD));
+    if (shuffled.size() > 1
+        && !shuffled.get(1).suspect()
+        && shuffled.get(1).load() < shuffled.get(0).load()) {
+      java.util.Collections.swap(shuffled, 0, 1);
+    }
+    return shuffled.stream().map(EndpointView::id).toList();
+  }
+
+  private static Tier tier(
+      final EndpointView view, final double allowedLoad, final int medianPace) {
+    if (view.suspect()) {
+      return Tier.SUSPECT;
+    }
+    if (view.loadAgeMs() > USEFUL_AGE_MS) {
+      return Tier.GOOD;
+    }
+    if (medianPace > 0 && view.paceMicros() > SLOW_FACTOR * medianPace) {
+      return Tier.SLOW;
+    }
+    return view.load() > allowedLoad ? Tier.LOADED : Tier.GOOD;
+  }
+
+  private static double meanLoad(final List<EndpointView> views) {
+    double sum = 0;
+    int count = 0;
+    for (final EndpointView view : views) {
+      if (view.loadAgeMs() <= USEFUL_AGE_MS) {
+        sum += view.load();
+        count++;
+      }
+    }
+    return count == 0 ? 0 : sum / count;
+  }
+
+  private static int medianPace(final List<EndpointView> views) {
+    final int[] paces = new int[views.size()];
+    int count = 0;
+    for (final EndpointView view : views) {
+      if (view.paceMicros() > 0 && view.loadAgeMs() <= USEFUL_AGE_MS) {
+        paces[count] = view.paceMicros();
+        count++;
+      }
+    }
+    Arrays.sort(paces, 0, count);
+    return count == 0 ? 0 : paces[count / 2];
+  }
+
+  private static long score(final long chat, final long key) {
+    return BitMixer.mix(chat ^ key) >>> 1;
+  }
+
+  /**
+   * Holds an endpoint while it is ranked.
+   *
+   * @param id the endpoint
+   * @param tier how likely it serves the request well
+   * @param score its rendezvous score for the chat
+   */
+  private record Ranked(EndpointId id, Tier tier, long score) {}
+}
--- a/src/main/java/org/bulrushweir/routing/EndpointView.java
+++ b/src/main/java/org/bulrushweir/routing/EndpointView.java
@@ -1,13 +1,16 @@
 package org.bulrushweir.routing;
 
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.ZoneName;
 
 /**
- * What a router knows of an endpoint.
+ * What a router knows of an endpoint that takes work.
  *
  * @param id the endpoint
- * @param zone its availability zone
- * @param leaving whether it takes no new work
+ * @param key the hash of its id
+ * @param suspect whether it could not be reached lately
+ * @param load the work that it carried when it last reported, in work units
+ * @param loadAgeMs how old that report is, {@link Long#MAX_VALUE} if there is none
+ * @param paceMicros how long it takes per token, in microseconds, zero if unknown
  */
-public record EndpointView(EndpointId id, ZoneName zone, boolean leaving) {}
+public record EndpointView(
+    EndpointId id, long key, boolean suspect, long load, long loadAgeMs, int paceMicros) {}
--- a/src/main/java/org/bulrushweir/settings/SettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/SettingsLoader.java
@@ -1,5 +1,10 @@
 package org.bulrushweir.settings;
 
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.Identifiers;
@@ -14,6 +19,9 @@
 
   private static final long DEFAULT_PLATFORM_TIMEOUT_MS = 1_000;
   private static final long MAXIMUM_PLATFORM_TIMEOUT_MS = 60_000;
+  private static final long DEFAULT_VM_POLL_MS = 5_000;
+  private static final long DEFAULT_CONFIG_POLL_MS = 30_000;
+  private static final long MAXIMUM_POLL_MS = 3_600_000;
 
   private final FindingCollector findings = new FindingCollector();
   private final TomlReader root;
@@ -56,6 +64,9 @@
     final HttpUrl platformUrl = url(platform, "url");
     final long timeoutMs =
         platform.integer("timeout_ms", DEFAULT_PLATFORM_TIMEOUT_MS, 1, MAXIMUM_PLATFORM_TIMEOUT_MS);
+    final long vmPollMs = platform.integer("vm_poll_ms", DEFAULT_VM_POLL_MS, 1, MAXIMUM_POLL_MS);
+    final long configPollMs =
+        platform.integer("config_poll_ms", DEFAULT_CONFIG_POLL_MS, 1, MAXIMUM_POLL_MS);
     final TomlReader log = root.table("log");
     final LogFormat format = log.choice("format", LogFormat.class, LogFormat.TEXT);
     final LogLevel level = log.choice("level", LogLevel.class, LogLevel.INFO);
@@ -74,12 +85,30 @@
         http,
         platformUrl,
         timeoutMs,
+        vmPollMs,
+        configPollMs,
+        seeds(),
         format,
         level,
         sidecar ? new ServiceName(service) : null,
         endpointUrl);
   }
 
+  private List<InetSocketAddress> seeds() {
+    final List<InetSocketAddress> seeds = new ArrayList<>();
+    for (final String text : root.texts("seeds")) {
+      try {
+        final HostAndPort parsed = HostAndPort.fromString(text);
+        seeds.add(
+            new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort()));
+      } catch (IllegalArgumentException | IllegalStateException e) {
+        root.reportAt(
+            "seeds", "\"" + text + "\" is not an IP number and port such as 10.0.0.1:7400");
+      }
+    }
+    return seeds;
+  }
+
   private String name(final String key) {
     final String text = root.text(key);
     if (!text.isEmpty() && !Identifiers.isValid(text)) {
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/AdmissionSettingsReader.java
@@ -0,0 +1,36 @@
+package org.bulrushweir.sidecar;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.bulrushweir.admission.AdmissionSettings;
+import org.bulrushweir.admission.OrganisationShare;
+import org.bulrushweir.api.OrganisationId;
+import org.bulrushweir.declaration.Declaration;
+import org.bulrushweir.declaration.ServiceDeclaration;
+
+/** Derives the settings of admission from what operators declare. */
+public final class AdmissionSettingsReader {
+
+  private AdmissionSettingsReader() {}
+
+  /**
+   * Derives the settings.
+   *
+   * @param declaration what is declared
+   * @param service the endpoint's service
+   * @return the settings; the load multiple binds only endpoints that answer chats
+   */
+  public static AdmissionSettings read(
+      final Declaration declaration, final ServiceDeclaration service) {
+    final Map<OrganisationId, OrganisationShare> shares = new HashMap<>();
+    declaration
+        .organisations()
+        .forEach(
+            (id, organisation) ->
+                shares.put(
+                    id, new OrganisationShare(organisation.weight(), organisation.maximumShare())));
+    final double multiple =
+        service.kind().answersChats() ? service.loadMultiple() : Double.POSITIVE_INFINITY;
+    return new AdmissionSettings(service.slots(), service.reservedSlots(), multiple, shares);
+  }
+}
--- a/src/main/java/org/bulrushweir/sidecar/ChannelSubscriber.java
+++ b/src/main/java/org/bulrushweir/sidecar/ChannelSubscriber.java
@@ -11,7 +11,7 @@
 import org.bulrushweir.wire.generated.End;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.Frame;
-import org.bulrushweir.wire.generated.LoadHint;
+import org.bulrushweir.wire.generated.Report;
 import org.bulrushweir.wire.generated.RunState;
 
 /**
@@ -19,9 +19,9 @@
  *
  * @param key the attempt
  * @param channel the connection
- * @param load tells the endpoint's load when the answer ends
+ * @param report makes the endpoint's report when the answer ends
  */
-record ChannelSubscriber(AttemptKey key, PeerChannel channel, Supplier<LoadHint> load)
+record ChannelSubscriber(AttemptKey key, PeerChannel channel, Supplier<Report> report)
     implements AnswerSubscriber {
 
   @Override
@@ -44,7 +44,7 @@
         End.newBuilder()
             .setRequest(key.request().value())
             .setAttempt(key.attempt())
-            .setLoad(load.get());
+            .setReport(report.get());
     switch (end) {
       case AttemptEnd.Ran ran -> addSummary(message.setFrames(ran.parts()), ran.summary());
       case AttemptEnd.Broken broken ->
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
@@ -0,0 +1,272 @@
+package org.bulrushweir.sidecar;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import okhttp3.Call;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.delivery.AnswerPart;
+import org.bulrushweir.delivery.AnswerSummary;
+import org.bulrushweir.delivery.AttemptEnd;
+import org.bulrushweir.delivery.RefusalKind;
+import org.bulrushweir.engine.EngineClient;
+import org.bulrushweir.engine.EngineListener;
+import org.bulrushweir.engine.EngineProtocol;
+import org.bulrushweir.engine.EngineResult;
+import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.runonce.ClaimMachine;
+import org.bulrushweir.runonce.ClaimOutcome;
+import org.bulrushweir.runonce.ClaimRow;
+import org.bulrushweir.runonce.ClaimState;
+import org.bulrushweir.wire.PeerIdentity;
+import org.bulrushweir.wire.generated.Dispatch;
+import org.bulrushweir.wire.generated.Kind;
+
+/** Runs attempts at the endpoint, each on a virtual thread. */
+final class RunExecutor implements AutoCloseable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The HTTP status of answers that an engine has generated. */
+  private static final int STATUS_OK = 200;
+
+  /** Runs each attempt on a thread of its own. */
+  private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+
+  /** Who this process is. */
+  private final PeerIdentity self;
+
+  /** The service that the endpoint belongs to. */
+  private final ServiceName service;
+
+  /** The clock. */
+  private final Clock clock;
+
+  /** Calls the endpoint. */
+  private final EngineClient engine;
+
+  /** The platform's store, which keeps claims. */
+  private final PlatformStore platform;
+
+  /**
+   * Creates an executor.
+   *
+   * @param self who this process is
+   * @param service the service that the endpoint belongs to
+   * @param clock the clock
+   * @param engine calls the endpoint
+   * @param platform the platform's store
+   */
+  RunExecutor(
+      final PeerIdentity self,
+      final ServiceName service,
+      final Clock clock,
+      final EngineClient engine,
+      final PlatformStore platform) {
+    this.self = self;
+    this.service = service;
+    this.clock = clock;
+    this.engine = engine;
+    this.platform = platform;
+  }
+
+  /**
+   * Runs an attempt.
+   *
+   * @param run the attempt
+   * @param listener hears how it goes
+   */
+  void execute(final SidecarRun run, final RunListener listener) {
+    threads.execute(() -> executeNow(run, listener));
+  }
+
+  private void executeNow(final SidecarRun run, final RunListener listener) {
+    try {
+      if (run.dispatch().getKind() == Kind.CHAT) {
+        executeChat(run, listener);
+      } else if (run.dispatch().getIdempotencyKey().isEmpty()) {
+        executeCall(run, listener);
+      } else {
+        claimedCall(run, listener).run();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      listener.ended(run, new AttemptEnd.Unknown("the sidecar was stopped"));
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("attempt %s failed", run.key());
+      listener.ended(run, new AttemptEnd.Unknown("the sidecar failed: " + e.getMessage()));
+    }
+  }
+
+  private void executeChat(final SidecarRun run, final RunListener listener) {
+    final EngineProtocol.ChatRequest request;
+    try {
+      request = ChatRequests.forEngine(run.dispatch(), run.item().workClass().priority());
+    } catch (IllegalArgumentException e) {
+      listener.notRun(run, RefusalKind.BAD_REQUEST, e.getMessage());
+      return;
+    }
+    final Call call = engine.chatCall(request);
+    run.call(call);
+    switch (engine.chat(call, new TokenAppender(run, listener, clock))) {
+      case EngineResult.Generated generated ->
+          listener.ended(run, new AttemptEnd.Ran(run.buffer().size(), summary(generated)));
+      case EngineResult.Refused refused ->
+          listener.notRun(
+              run,
+              refused.modelMissing() ? RefusalKind.MODEL_NOT_LOADED : RefusalKind.ENDPOINT_DOWN,
+              refused.detail());
+      case EngineResult.Broken broken ->
+          listener.ended(run, new AttemptEnd.Broken(run.buffer().size(), broken.detail()));
+      case EngineResult.Answered answered ->
+          throw new IllegalStateException("an engine does not answer like a service");
+    }
+  }
+
+  private static AnswerSummary summary(final EngineResult.Generated generated) {
+    final EngineProtocol.Usage usage = generated.usage();
+    final EngineProtocol.PromptTokensDetails details = usage.promptTokensDetails();
+    return new AnswerSummary(
+        STATUS_OK,
+        "",
+        usage.promptTokens(),
+        details == null ? 0 : details.cachedTokens(),
+        usage.completionTokens(),
+        generated.finishReason(),
+        false);
+  }
+
+  private EngineResult callService(final SidecarRun run) {
+    final Dispatch dispatch = run.dispatch();
+    final Call call =
+        engine.serviceCall(
+            dispatch.getMethod(),
+            dispatch.getPath(),
+            dispatch.getContentType(),
+            dispatch.getBody().toByteArray());
+    run.call(call);
+    return engine.serve(call);
+  }
+
+  private void executeCall(final SidecarRun run, final RunListener listener) {
+    switch (callService(run)) {
+      case EngineResult.Answered answered ->
+          endCall(
+              run,
+              new ClaimOutcome(answered.httpStatus(), answered.contentType(), answered.body()),
+              false,
+              listener);
+      case EngineResult.Refused refused ->
+          listener.notRun(run, RefusalKind.ENDPOINT_DOWN, refused.detail());
+      case EngineResult.Broken broken ->
+          listener.ended(run, new AttemptEnd.Unknown(broken.detail()));
+      case EngineResult.Generated generated ->
+          throw new IllegalStateException("a plain service does not generate tokens");
+    }
+  }
+
+  private static void endCall(
+      final SidecarRun run,
+      final ClaimOutcome outcome,
+      final boolean replayed,
+      final RunListener listener) {
+    run.buffer().append(new AnswerPart(ByteString.copyFrom(outcome.body()), 0));
+    final AnswerSummary summary =
+        new AnswerSummary(outcome.httpStatus(), outcome.contentType(), 0, 0, 0, "", replayed);
+    listener.ended(run, new AttemptEnd.Ran(1, summary));
+  }
+
+  private ClaimedCall claimedCall(final SidecarRun run, final RunListener listener) {
+    final Dispatch dispatch = run.dispatch();
+    final ClaimRow row =
+        new ClaimRow(
+            UUID.randomUUID().toString(),
+            bodyDigest(dispatch),
+            self.node().value(),
+            self.incarnation().value(),
+            ClaimState.CLAIMED,
+            null);
+    final ClaimMachine machine = new ClaimMachine(row, run.item().startByMs());
+    final ClaimStore store = new ClaimStore(platform, claimKey(dispatch));
+    return new ClaimedCall(
+        machine, store, clock, () -> callService(run), new ClaimListener(run, listener));
+  }
+
+  private static String bodyDigest(final Dispatch dispatch) {
+    return Hashing.sha256()
+        .newHasher()
+        .putString(dispatch.getMethod() + ' ' + dispatch.getPath(), StandardCharsets.UTF_8)
+        .putBytes(dispatch.getBody().toByteArray())
+        .hash()
+        .toString();
+  }
+
+  private String claimKey(final Dispatch dispatch) {
+    final String digest =
+        Hashing.sha256()
+            .hashString(service + "\n" + dispatch.getIdempotencyKey(), StandardCharsets.UTF_8)
+            .toString();
+    return "claims/" + dispatch.getOrganisation() + "/" + digest;
+  }
+
+  @Override
+  public void close() {
+    threads.shutdownNow();
+    engine.close();
+  }
+
+  /** Appends tokens to the buffer of a run, and measures the time between them. */
+  private static final class TokenAppender implements EngineListener {
+
+    private final SidecarRun run;
+    private final RunListener listener;
+    private final Clock clock;
+    private long lastMs;
+
+    private TokenAppender(final SidecarRun run, final RunListener listener, final Clock clock) {
+      this.run = run;
+      this.listener = listener;
+      this.clock = clock;
+    }
+
+    @Override
+    public void token(final String text) {
+      final long nowMs = clock.nowMs();
+      if (lastMs != 0) {
+        listener.token(nowMs - lastMs);
+      }
+      lastMs = nowMs;
+      run.buffer().append(new AnswerPart(ByteString.copyFromUtf8(text), 1));
+    }
+  }
+
+  /**
+   * Passes the end of a claimed call on.
+   *
+   * @param run the run
+   * @param listener hears how it went
+   */
+  private record ClaimListener(SidecarRun run, RunListener listener)
+      implements ClaimedCall.Listener {
+
+    @Override
+    public void ran(final ClaimOutcome outcome, final boolean replayed) {
+      endCall(run, outcome, replayed, listener);
+    }
+
+    @Override
+    public void notRun(final RefusalKind kind, final String detail) {
+      listener.notRun(run, kind, detail);
+    }
+
+    @Override
+    public void unknown(final String detail) {
+      listener.ended(run, new AttemptEnd.Unknown(detail));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/RunListener.java
@@ -0,0 +1,32 @@
+package org.bulrushweir.sidecar;
+
+import org.bulrushweir.delivery.AttemptEnd;
+import org.bulrushweir.delivery.RefusalKind;
+
+/** Hears how runs go at the endpoint. */
+interface RunListener {
+
+  /**
+   * A token was generated.
+   *
+   * @param intervalMs how long it took since the one before it in the same answer
+   */
+  void token(double intervalMs);
+
+  /**
+   * A run has ended.
+   *
+   * @param run the run
+   * @param end how it ended
+   */
+  void ended(SidecarRun run, AttemptEnd end);
+
+  /**
+   * A run turned out not to run.
+   *
+   * @param run the run
+   * @param kind why
+   * @param detail a message for the caller
+   */
+  void notRun(SidecarRun run, RefusalKind kind, String detail);
+}
--- a/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
@@ -1,91 +1,80 @@
 package org.bulrushweir.sidecar;
 
-import com.google.common.flogger.FluentLogger;
-import com.google.common.hash.Hashing;
-import com.google.protobuf.ByteString;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.UUID;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import okhttp3.Call;
-import org.bulrushweir.admission.AdmissionController;
 import org.bulrushweir.admission.AdmissionDecision;
-import org.bulrushweir.admission.AdmissionSettings;
 import org.bulrushweir.admission.AttemptKey;
-import org.bulrushweir.admission.OrganisationShare;
+import org.bulrushweir.admission.EndpointGate;
+import org.bulrushweir.admission.Offer;
 import org.bulrushweir.admission.WorkItem;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.Identifiers;
-import org.bulrushweir.api.Incarnation;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.api.RequestId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.configuration.AcceptedConfig;
 import org.bulrushweir.declaration.ServiceDeclaration;
-import org.bulrushweir.declaration.WorkClass;
-import org.bulrushweir.delivery.AnswerPart;
-import org.bulrushweir.delivery.AnswerSummary;
 import org.bulrushweir.delivery.AttemptEnd;
 import org.bulrushweir.delivery.RefusalKind;
-import org.bulrushweir.engine.EngineClient;
-import org.bulrushweir.engine.EngineProtocol;
-import org.bulrushweir.engine.EngineResult;
-import org.bulrushweir.load.LoadReport;
-import org.bulrushweir.load.PoolLoads;
-import org.bulrushweir.node.DirectoryService;
-import org.bulrushweir.platform.PlatformStore;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.runonce.ClaimMachine;
-import org.bulrushweir.runonce.ClaimOutcome;
-import org.bulrushweir.runonce.ClaimRow;
-import org.bulrushweir.runonce.ClaimState;
+import org.bulrushweir.membership.AgedReport;
+import org.bulrushweir.membership.EndpointReport;
+import org.bulrushweir.node.FleetService;
+import org.bulrushweir.node.ReportMessages;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerIdentity;
 import org.bulrushweir.wire.PeerListener;
-import org.bulrushweir.wire.generated.Accepted;
 import org.bulrushweir.wire.generated.Cancel;
-import org.bulrushweir.wire.generated.CancelResult;
+import org.bulrushweir.wire.generated.ChatMoved;
 import org.bulrushweir.wire.generated.Dispatch;
 import org.bulrushweir.wire.generated.DrainResult;
 import org.bulrushweir.wire.generated.Envelope;
-import org.bulrushweir.wire.generated.Kind;
-import org.bulrushweir.wire.generated.LoadHint;
 import org.bulrushweir.wire.generated.Refusal;
+import org.bulrushweir.wire.generated.Report;
 import org.bulrushweir.wire.generated.Resume;
-import org.bulrushweir.wire.generated.ResumeResult;
 import org.bulrushweir.wire.generated.ResumeState;
 
 /** Accepts, queues, runs, resumes and cancels the attempts that routers send to one endpoint. */
 public final class SidecarCore implements PeerListener, AutoCloseable {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  /** How long settled attempts are remembered, in milliseconds. */
   private static final long RETENTION_MS = 60_000;
+
+  /** How long an attempt waits for the configuration that it came under, in milliseconds. */
   private static final long CONFIG_WAIT_MS = 500;
+
+  /** How long an attempt goes on after its connection was lost, in milliseconds. */
   private static final long ORPHAN_GRACE_MS = 10_000;
-  private static final AdmissionSettings INITIAL = new AdmissionSettings(1, 0, 1, Map.of());
 
+  /** The attempts by key, settled ones included. */
   private final Map<AttemptKey, SidecarRun> runs = new HashMap<>();
+
+  /** The attempts that wait for a configuration. */
   private final List<DeferredDispatch> deferred = new ArrayList<>();
-  private final PoolLoads loads = new PoolLoads();
-  private final AdmissionController admission = new AdmissionController(INITIAL);
-  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+
+  /** Who this process is. */
   private final PeerIdentity self;
-  private final EndpointId endpoint;
+
+  /** The service that the endpoint belongs to. */
   private final ServiceName serviceName;
+
+  /** The clock. */
   private final Clock clock;
-  private final EngineClient engine;
-  private final PlatformStore platform;
-  private final DirectoryService directory;
+
+  /** Decides what is accepted and what runs next. */
+  private final EndpointGate gate;
+
+  /** Runs attempts at the endpoint. */
+  private final RunExecutor executor;
+
+  /** What this process knows of the fleet. */
+  private final FleetService fleet;
+
+  /** The configuration in force, null before the first one. */
   private AcceptedConfig config;
-  private long loadVersion;
 
   /**
    * Creates the core of a sidecar.
@@ -93,24 +82,23 @@
    * @param self who this process is
    * @param serviceName the service that the endpoint belongs to
    * @param clock the clock
-   * @param engine calls the endpoint
-   * @param platform the platform's store
-   * @param directory the list of endpoints
+   * @param gate decides what is accepted and what runs next
+   * @param executor runs attempts at the endpoint
+   * @param fleet what this process knows of the fleet
    */
-  public SidecarCore(
+  SidecarCore(
       final PeerIdentity self,
       final ServiceName serviceName,
       final Clock clock,
-      final EngineClient engine,
-      final PlatformStore platform,
-      final DirectoryService directory) {
+      final EndpointGate gate,
+      final RunExecutor executor,
+      final FleetService fleet) {
     this.self = self;
-    this.endpoint = new EndpointId(self.node().value());
     this.serviceName = serviceName;
     this.clock = clock;
-    this.engine = engine;
-    this.platform = platform;
-    this.directory = directory;
+    this.gate = gate;
+    this.executor = executor;
+    this.fleet = fleet;
   }
 
   /**
@@ -121,27 +109,17 @@
   public synchronized void reconfigure(final AcceptedConfig newConfig) {
     config = newConfig;
     final ServiceDeclaration service = newConfig.declaration().services().get(serviceName);
-    if (service == null) {
-      return;
+    if (service != null) {
+      gate.reconfigure(AdmissionSettingsReader.read(newConfig.declaration(), service));
     }
-    final Map<OrganisationId, OrganisationShare> shares = new HashMap<>();
-    newConfig
-        .declaration()
-        .organisations()
-        .forEach(
-            (id, organisation) ->
-                shares.put(
-                    id, new OrganisationShare(organisation.weight(), organisation.maximumShare())));
-    admission.reconfigure(
-        new AdmissionSettings(
-            service.slots(), service.reservedSlots(), service.loadMultiple(), shares));
     dispatchDeferred();
     pump();
   }
 
   /** Refuses all new work from now on. */
   public synchronized void leave() {
-    admission.leave();
+    gate.leave();
+    report();
   }
 
   /**
@@ -150,7 +128,7 @@
    * @return the number of attempts
    */
   public synchronized int inFlight() {
-    return admission.inFlight();
+    return gate.inFlight();
   }
 
   /**
@@ -159,7 +137,7 @@
    * @return the load in work units
    */
   public synchronized long load() {
-    return admission.load();
+    return gate.load();
   }
 
   @Override
@@ -169,6 +147,7 @@
           dispatchWhenReady(channel, envelope.getConfigNumber(), envelope.getDispatch());
       case CANCEL -> cancel(channel, envelope.getCancel());
       case RESUME -> resume(channel, envelope.getResume());
+      case CHAT_MOVED -> moved(envelope.getChatMoved());
       case DRAIN_REQUEST -> drain(channel);
       default -> {
         // Other messages are for other listeners.
@@ -193,6 +172,12 @@
         Envelope.newBuilder().setDrainResult(DrainResult.newBuilder().setInFlight(inFlight())));
   }
 
+  private synchronized void moved(final ChatMoved message) {
+    if (message.getChat() != 0 && Identifiers.isValid(message.getEndpoint())) {
+      gate.moved(message.getChat(), new EndpointId(message.getEndpoint()), clock.nowMs());
+    }
+  }
+
   /** Lets an attempt wait for the configuration under which its router has sent it. */
   private synchronized void dispatchWhenReady(
       final PeerChannel channel, final long configNumber, final Dispatch dispatch) {
@@ -204,7 +189,7 @@
         new DeferredDispatch(channel, configNumber, dispatch, clock.nowMs() + CONFIG_WAIT_MS));
   }
 
-  /** Dispatches what has waited for the configuration, or has waited too long. */
+  /** Dispatches what has waited for the configuration, or refuses what has waited too long. */
   private void dispatchDeferred() {
     final long nowMs = clock.nowMs();
     final List<DeferredDispatch> waiting = new ArrayList<>(deferred);
@@ -217,31 +202,40 @@
       } else {
         refuse(
             each.channel(),
-            new AttemptKey(
-                new RequestId(each.dispatch().getRequest()), each.dispatch().getAttempt()),
-            RefusalKind.NOT_READY,
-            0,
+            key(each.dispatch()),
+            new AdmissionDecision.Refused(RefusalKind.NOT_READY, 0, null),
             "the endpoint does not have configuration " + each.configNumber() + " yet");
       }
     }
   }
 
+  private static AttemptKey key(final Dispatch dispatch) {
+    return new AttemptKey(new RequestId(dispatch.getRequest()), dispatch.getAttempt());
+  }
+
   private void dispatch(final PeerChannel channel, final Dispatch dispatch) {
-    final AttemptKey key =
-        new AttemptKey(new RequestId(dispatch.getRequest()), dispatch.getAttempt());
-    dispatch.getLoadsList().forEach(this::learn);
+    final AttemptKey key = key(dispatch);
+    dispatch.getReportsList().forEach(fleet::learn);
     final SidecarRun known = runs.get(key);
     if (known != null) {
       attach(known, channel, 0);
       return;
     }
     if (dispatch.getIncarnation() != 0 && dispatch.getIncarnation() != self.incarnation().value()) {
-      refuse(channel, key, RefusalKind.WRONG_INCARNATION, 0, "the sidecar was restarted");
+      refuse(
+          channel,
+          key,
+          new AdmissionDecision.Refused(RefusalKind.WRONG_INCARNATION, 0, null),
+          "the sidecar was restarted");
       return;
     }
     final Optional<String> fault = fault(dispatch);
     if (fault.isPresent()) {
-      refuse(channel, key, RefusalKind.BAD_REQUEST, 0, fault.get());
+      refuse(
+          channel,
+          key,
+          new AdmissionDecision.Refused(RefusalKind.BAD_REQUEST, 0, null),
+          fault.get());
       return;
     }
     admit(channel, key, dispatch);
@@ -264,160 +258,120 @@
   }
 
   private void admit(final PeerChannel channel, final AttemptKey key, final Dispatch dispatch) {
-    final long nowMs = clock.nowMs();
-    final WorkClass workClass = config.declaration().classes().get(dispatch.getWorkClass());
-    final long startWithinMs =
-        dispatch.getFirstTokenMs() == 0 ? dispatch.getDeadlineMs() : dispatch.getFirstTokenMs();
-    final WorkItem item =
-        new WorkItem(
-            key,
-            new OrganisationId(dispatch.getOrganisation()),
-            workClass,
-            WorkEstimator.estimate(dispatch),
-            nowMs,
-            nowMs + startWithinMs);
-    switch (admission.offer(item, meanLoad(nowMs))) {
+    final Offer offer = offer(key, dispatch);
+    report();
+    switch (gate.offer(offer, fleet.statistics(serviceName))) {
       case AdmissionDecision.Refused refused ->
-          refuse(channel, key, refused.kind(), refused.retryAfterMs(), "the endpoint is busy");
+          refuse(channel, key, refused, "the endpoint does not take the request now");
       case AdmissionDecision.Admitted admitted -> {
-        final SidecarRun run = new SidecarRun(dispatch, key, item, channel);
+        final SidecarRun run = new SidecarRun(dispatch, key, offer, channel);
         runs.put(key, run);
-        channel.send(
-            Envelope.newBuilder()
-                .setAccepted(
-                    Accepted.newBuilder()
-                        .setRequest(key.request().value())
-                        .setAttempt(key.attempt())
-                        .setIncarnation(self.incarnation().value())
-                        .setLoad(loadHint())));
-        run.buffer().subscribe(new ChannelSubscriber(key, channel, this::loadHint), 0);
+        channel.send(SidecarMessages.accepted(key, self.incarnation().value(), report()));
+        run.buffer().subscribe(new ChannelSubscriber(key, channel, this::report), 0);
         pump();
       }
     }
   }
 
-  private double meanLoad(final long nowMs) {
-    final Set<EndpointId> members = new HashSet<>();
-    for (final Vm vm : directory.endpointsOf(serviceName)) {
-      members.add(new EndpointId(vm.name()));
-    }
-    return loads.meanSeenBy(endpoint, admission.load(), members, nowMs);
-  }
-
-  private void learn(final LoadHint hint) {
-    if (!Identifiers.isValid(hint.getEndpoint())) {
-      return;
-    }
-    loads.update(
-        new LoadReport(
-            new EndpointId(hint.getEndpoint()),
-            new Incarnation(hint.getIncarnation()),
-            hint.getVersion(),
-            hint.getLoad(),
-            clock.nowMs() - hint.getAgeMs()));
-  }
-
-  private synchronized LoadHint loadHint() {
-    loadVersion++;
-    return LoadHint.newBuilder()
-        .setEndpoint(endpoint.value())
-        .setIncarnation(self.incarnation().value())
-        .setVersion(loadVersion)
-        .setLoad((int) admission.load())
-        .build();
+  private Offer offer(final AttemptKey key, final Dispatch dispatch) {
+    final long nowMs = clock.nowMs();
+    final long startWithinMs =
+        dispatch.getFirstTokenMs() == 0 ? dispatch.getDeadlineMs() : dispatch.getFirstTokenMs();
+    return new Offer(
+        key,
+        new OrganisationId(dispatch.getOrganisation()),
+        config.declaration().classes().get(dispatch.getWorkClass()),
+        dispatch.getChat(),
+        dispatch.getPromptTokens() + dispatch.getContinuationTokens(),
+        dispatch.getExpectedOutputTokens() - dispatch.getContinuationTokens(),
+        dispatch.getCacheExpected(),
+        nowMs,
+        nowMs + startWithinMs);
+  }
+
+  /** Makes a report and keeps it where peers and this sidecar's own decisions find it. */
+  private synchronized Report report() {
+    final EndpointReport report = gate.report(clock.nowMs());
+    final AgedReport aged = new AgedReport(report, 0);
+    fleet.learn(aged);
+    return ReportMessages.toWire(aged);
   }
 
   private void refuse(
       final PeerChannel channel,
       final AttemptKey key,
-      final RefusalKind kind,
-      final long retryAfterMs,
+      final AdmissionDecision.Refused refused,
       final String detail) {
-    final Refusal refusal = refusal(key, kind, retryAfterMs, detail);
+    final Refusal refusal =
+        SidecarMessages.refusal(
+            key, refused.kind(), refused.retryAfterMs(), refused.movedTo(), detail, report());
+    bury(key, refusal);
+    channel.send(Envelope.newBuilder().setRefusal(refusal));
+  }
+
+  /** Makes sure that an attempt will not run even if its dispatch comes later. */
+  private void bury(final AttemptKey key, final Refusal refusal) {
     final SidecarRun tombstone = new SidecarRun(null, key, null, null);
     tombstone.refuse(refusal, clock.nowMs());
     runs.put(key, tombstone);
-    channel.send(Envelope.newBuilder().setRefusal(refusal));
   }
 
-  private Refusal refusal(
-      final AttemptKey key, final RefusalKind kind, final long retryAfterMs, final String detail) {
-    return Refusal.newBuilder()
-        .setRequest(key.request().value())
-        .setAttempt(key.attempt())
-        .setReason(Refusals.toWire(kind))
-        .setRetryAfterMs((int) retryAfterMs)
-        .setLoad(loadHint())
-        .setDetail(detail)
-        .build();
+  private Refusal cancelled(final AttemptKey key, final String detail) {
+    return SidecarMessages.refusal(key, RefusalKind.CANCELLED, 0, null, detail, report());
   }
 
   private synchronized void cancel(final PeerChannel channel, final Cancel cancel) {
     final AttemptKey key = new AttemptKey(new RequestId(cancel.getRequest()), cancel.getAttempt());
-    final SidecarRun run = runs.get(key);
+    deferred.removeIf(each -> key(each.dispatch()).equals(key));
+    SidecarRun run = runs.get(key);
     if (run == null) {
-      final SidecarRun tombstone = new SidecarRun(null, key, null, null);
-      tombstone.refuse(refusal(key, RefusalKind.CANCELLED, 0, "cancelled"), clock.nowMs());
-      runs.put(key, tombstone);
-      answerCancel(channel, key, true);
-      return;
+      bury(key, cancelled(key, "cancelled before it came"));
+      run = runs.get(key);
     }
-    if (run.state() == RunState.QUEUED) {
-      admission.cancelQueued(key);
-      run.refuse(refusal(key, RefusalKind.CANCELLED, 0, "cancelled"), clock.nowMs());
+    if (run.state() == RunState.QUEUED && cancel.getGraceMs() == 0) {
+      gate.cancelQueued(key);
+      run.refuse(cancelled(key, "cancelled before it started"), clock.nowMs());
     }
-    if (run.state() == RunState.RUNNING && run.dispatch().getRepeatable()) {
+    if (!run.isSettled()) {
       run.cancelAt(clock.nowMs() + cancel.getGraceMs());
     }
-    answerCancel(channel, key, run.state() == RunState.REFUSED);
-  }
-
-  private void answerCancel(
-      final PeerChannel channel, final AttemptKey key, final boolean notStarted) {
     channel.send(
-        Envelope.newBuilder()
-            .setCancelResult(
-                CancelResult.newBuilder()
-                    .setRequest(key.request().value())
-                    .setAttempt(key.attempt())
-                    .setIncarnation(self.incarnation().value())
-                    .setNotStarted(notStarted)));
+        SidecarMessages.cancelResult(
+            key, self.incarnation().value(), run.state() == RunState.REFUSED));
   }
 
   private synchronized void resume(final PeerChannel channel, final Resume resume) {
     final AttemptKey key = new AttemptKey(new RequestId(resume.getRequest()), resume.getAttempt());
     final SidecarRun run = runs.get(key);
-    if (run != null
-        && run.dispatch() != null
-        && !run.dispatch().getOrganisation().equals(resume.getOrganisation())) {
-      answerResume(channel, key, ResumeState.LOST);
+    if (run == null) {
+      resumeUnseen(channel, key, resume.getIncarnation());
       return;
     }
-    if (run != null) {
-      answerResume(channel, key, ResumeState.RESUMED);
-      attach(run, channel, resume.getNextSequence());
+    final boolean foreign =
+        run.dispatch() != null
+            && !run.dispatch().getOrganisation().equals(resume.getOrganisation());
+    if (foreign) {
+      answerResume(channel, key, ResumeState.LOST);
       return;
     }
-    if (resume.getIncarnation() != self.incarnation().value()) {
+    answerResume(channel, key, ResumeState.RESUMED);
+    attach(run, channel, resume.getNextSequence());
+  }
+
+  private void resumeUnseen(
+      final PeerChannel channel, final AttemptKey key, final long incarnation) {
+    if (incarnation != self.incarnation().value()) {
       answerResume(channel, key, ResumeState.LOST);
       return;
     }
-    final SidecarRun tombstone = new SidecarRun(null, key, null, null);
-    tombstone.refuse(refusal(key, RefusalKind.CANCELLED, 0, "never seen"), clock.nowMs());
-    runs.put(key, tombstone);
+    deferred.removeIf(each -> key(each.dispatch()).equals(key));
+    bury(key, cancelled(key, "resumed before it came"));
     answerResume(channel, key, ResumeState.NEVER_SEEN);
   }
 
   private void answerResume(
       final PeerChannel channel, final AttemptKey key, final ResumeState state) {
-    channel.send(
-        Envelope.newBuilder()
-            .setResumeResult(
-                ResumeResult.newBuilder()
-                    .setRequest(key.request().value())
-                    .setAttempt(key.attempt())
-                    .setIncarnation(self.incarnation().value())
-                    .setState(state)));
+    channel.send(SidecarMessages.resumeResult(key, self.incarnation().value(), state));
   }
 
   private void attach(final SidecarRun run, final PeerChannel channel, final int nextSequence) {
@@ -426,200 +380,56 @@
       return;
     }
     run.channel(channel);
-    run.buffer().subscribe(new ChannelSubscriber(run.key(), channel, this::loadHint), nextSequence);
+    run.buffer().subscribe(new ChannelSubscriber(run.key(), channel, this::report), nextSequence);
   }
 
   /** Starts queued attempts while slots are free. */
   private void pump() {
-    Optional<WorkItem> next = admission.startNext(clock.nowMs());
+    Optional<WorkItem> next = gate.startNext(clock.nowMs());
     while (next.isPresent()) {
       final SidecarRun run = runs.get(next.get().key());
-      run.run();
-      executor.execute(() -> execute(run));
-      next = admission.startNext(clock.nowMs());
+      run.start();
+      executor.execute(run, new CoreRunListener());
+      next = gate.startNext(clock.nowMs());
     }
   }
 
-  private void execute(final SidecarRun run) {
-    try {
-      if (run.dispatch().getKind() == Kind.CHAT) {
-        executeChat(run);
-      } else if (run.dispatch().getIdempotencyKey().isEmpty()) {
-        executeCall(run);
-      } else {
-        claimedCall(run).run();
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      end(run, new AttemptEnd.Unknown("the sidecar was stopped"));
-    } catch (RuntimeException e) {
-      logger.atSevere().withCause(e).log("attempt %s failed", run.key());
-      end(run, new AttemptEnd.Unknown("the sidecar failed: " + e.getMessage()));
-    }
-  }
-
-  private void executeChat(final SidecarRun run) {
-    final EngineProtocol.ChatRequest request;
-    try {
-      request = ChatRequests.forEngine(run.dispatch(), run.item().workClass().priority());
-    } catch (IllegalArgumentException e) {
-      refuseRunning(run, RefusalKind.BAD_REQUEST, e.getMessage());
-      return;
-    }
-    final Call call = engine.chatCall(request);
-    setCall(run, call);
-    final EngineResult result =
-        engine.chat(
-            call, text -> run.buffer().append(new AnswerPart(ByteString.copyFromUtf8(text), 1)));
-    switch (result) {
-      case EngineResult.Generated generated ->
-          end(run, new AttemptEnd.Ran(run.buffer().size(), summary(generated)));
-      case EngineResult.Refused refused ->
-          refuseRunning(
-              run,
-              refused.modelMissing() ? RefusalKind.MODEL_NOT_LOADED : RefusalKind.ENDPOINT_DOWN,
-              refused.detail());
-      case EngineResult.Broken broken ->
-          end(run, new AttemptEnd.Broken(run.buffer().size(), broken.detail()));
-      case EngineResult.Answered answered ->
-          throw new IllegalStateException("an engine does not answer like a service");
-    }
-  }
-
-  private static AnswerSummary summary(final EngineResult.Generated generated) {
-    final EngineProtocol.Usage usage = generated.usage();
-    final EngineProtocol.PromptTokensDetails details = usage.promptTokensDetails();
-    return new AnswerSummary(
-        200,
-        "",
-        usage.promptTokens(),
-        details == null ? 0 : details.cachedTokens(),
-        usage.completionTokens(),
-        generated.finishReason(),
-        false);
-  }
-
-  private EngineResult callService(final SidecarRun run) {
-    final Dispatch dispatch = run.dispatch();
-    final Call call =
-        engine.serviceCall(
-            dispatch.getMethod(),
-            dispatch.getPath(),
-            dispatch.getContentType(),
-            dispatch.getBody().toByteArray());
-    setCall(run, call);
-    return engine.serve(call);
-  }
-
-  private void executeCall(final SidecarRun run) {
-    switch (callService(run)) {
-      case EngineResult.Answered answered ->
-          endCall(
-              run,
-              new ClaimOutcome(answered.httpStatus(), answered.contentType(), answered.body()),
-              false);
-      case EngineResult.Refused refused ->
-          refuseRunning(run, RefusalKind.ENDPOINT_DOWN, refused.detail());
-      case EngineResult.Broken broken -> end(run, new AttemptEnd.Unknown(broken.detail()));
-      case EngineResult.Generated generated ->
-          throw new IllegalStateException("a plain service does not generate tokens");
-    }
-  }
-
-  private ClaimedCall claimedCall(final SidecarRun run) {
-    final Dispatch dispatch = run.dispatch();
-    final String digest =
-        Hashing.sha256()
-            .newHasher()
-            .putString(dispatch.getMethod() + ' ' + dispatch.getPath(), StandardCharsets.UTF_8)
-            .putBytes(dispatch.getBody().toByteArray())
-            .hash()
-            .toString();
-    final String key =
-        Hashing.sha256()
-            .hashString(serviceName + "\n" + dispatch.getIdempotencyKey(), StandardCharsets.UTF_8)
-            .toString();
-    final ClaimRow row =
-        new ClaimRow(
-            UUID.randomUUID().toString(),
-            digest,
-            endpoint.value(),
-            self.incarnation().value(),
-            ClaimState.CLAIMED,
-            null);
-    final ClaimMachine machine = new ClaimMachine(row, run.item().startByMs());
-    final ClaimStore store =
-        new ClaimStore(platform, "claims/" + dispatch.getOrganisation() + "/" + key);
-    return new ClaimedCall(machine, store, clock, () -> callService(run), new RunListener(run));
-  }
-
-  private void endCall(final SidecarRun run, final ClaimOutcome outcome, final boolean replayed) {
-    run.buffer().append(new AnswerPart(ByteString.copyFrom(outcome.body()), 0));
-    end(
-        run,
-        new AttemptEnd.Ran(
-            1,
-            new AnswerSummary(outcome.httpStatus(), outcome.contentType(), 0, 0, 0, "", replayed)));
-  }
-
-  private synchronized void setCall(final SidecarRun run, final Call call) {
-    run.call(call);
-  }
-
-  private void end(final SidecarRun run, final AttemptEnd end) {
-    synchronized (this) {
-      run.end(clock.nowMs());
-      admission.finish(run.key(), clock.nowMs());
-      pump();
-    }
-    run.buffer().end(end);
-  }
-
-  private synchronized void refuseRunning(
-      final SidecarRun run, final RefusalKind kind, final String detail) {
-    final Refusal refusal = refusal(run.key(), kind, 0, detail);
-    run.refuse(refusal, clock.nowMs());
-    admission.finish(run.key(), clock.nowMs());
-    run.channel().send(Envelope.newBuilder().setRefusal(refusal));
-    pump();
-  }
-
-  /** Does what is due: refuses what waited too long, stops what nobody follows, forgets. */
+  /** Does what is due: reports, refuses what waited too long, stops what nobody follows. */
   public synchronized void tick() {
-    dispatchDeferred();
     final long nowMs = clock.nowMs();
-    for (final WorkItem item : admission.expire(nowMs)) {
-      final SidecarRun run = runs.get(item.key());
-      final Refusal refusal =
-          refusal(item.key(), RefusalKind.DEADLINE_UNREACHABLE, 0, "waited too long");
-      run.refuse(refusal, nowMs);
-      run.channel().send(Envelope.newBuilder().setRefusal(refusal));
+    report();
+    dispatchDeferred();
+    for (final WorkItem item : gate.expire(nowMs)) {
+      refuseAccepted(runs.get(item.key()), RefusalKind.DEADLINE_UNREACHABLE, "it waited too long");
     }
-    final List<SidecarRun> all = new ArrayList<>(runs.values());
-    for (final SidecarRun run : all) {
-      if (run.isSettled()) {
-        if (nowMs - run.settledAtMs() > RETENTION_MS) {
-          runs.remove(run.key());
-        }
-      } else if (nowMs >= run.cancelAtMs() && run.dispatch().getRepeatable()) {
+    for (final SidecarRun run : List.copyOf(runs.values())) {
+      if (run.isSettled() && nowMs - run.settledAtMs() > RETENTION_MS) {
+        runs.remove(run.key());
+      } else if (!run.isSettled() && nowMs >= run.cancelAtMs()) {
         stop(run);
       }
     }
     pump();
   }
 
+  /** Stops an attempt that nobody follows; one that must not repeat runs on once started. */
   private void stop(final SidecarRun run) {
-    if (admission.cancelQueued(run.key())) {
-      run.refuse(refusal(run.key(), RefusalKind.CANCELLED, 0, "nobody follows it"), clock.nowMs());
-      return;
+    if (gate.cancelQueued(run.key())) {
+      run.refuse(cancelled(run.key(), "nobody follows it"), clock.nowMs());
+    } else if (run.dispatch().getRepeatable()) {
+      run.abort();
     }
-    run.abort();
+  }
+
+  private void refuseAccepted(final SidecarRun run, final RefusalKind kind, final String detail) {
+    final Refusal refusal = SidecarMessages.refusal(run.key(), kind, 0, null, detail, report());
+    run.refuse(refusal, clock.nowMs());
+    run.channel().send(Envelope.newBuilder().setRefusal(refusal));
   }
 
   @Override
   public void close() {
-    executor.shutdownNow();
-    engine.close();
+    executor.close();
   }
 
   /**
@@ -633,28 +443,39 @@
   private record DeferredDispatch(
       PeerChannel channel, long configNumber, Dispatch dispatch, long refuseAtMs) {}
 
-  /** Passes the end of a claimed call on to its run. */
-  private final class RunListener implements ClaimedCall.Listener {
+  /** Takes note of how runs go. */
+  private final class CoreRunListener implements RunListener {
 
-    private final SidecarRun run;
-
-    private RunListener(final SidecarRun run) {
-      this.run = run;
+    @Override
+    public void token(final double intervalMs) {
+      synchronized (SidecarCore.this) {
+        gate.token(intervalMs, clock.nowMs());
+      }
     }
 
     @Override
-    public void ran(final ClaimOutcome outcome, final boolean replayed) {
-      endCall(run, outcome, replayed);
+    public void ended(final SidecarRun run, final AttemptEnd end) {
+      synchronized (SidecarCore.this) {
+        run.end(clock.nowMs());
+        gate.finish(run.key(), cachedTokens(end), clock.nowMs());
+        pump();
+      }
+      run.buffer().end(end);
     }
 
-    @Override
-    public void notRun(final RefusalKind kind, final String detail) {
-      refuseRunning(run, kind, detail);
+    private int cachedTokens(final AttemptEnd end) {
+      return end instanceof AttemptEnd.Ran ran
+          ? ran.summary().promptTokens() + ran.summary().outputTokens()
+          : 0;
     }
 
     @Override
-    public void unknown(final String detail) {
-      end(run, new AttemptEnd.Unknown(detail));
+    public void notRun(final SidecarRun run, final RefusalKind kind, final String detail) {
+      synchronized (SidecarCore.this) {
+        gate.finish(run.key(), 0, clock.nowMs());
+        refuseAccepted(run, kind, detail);
+        pump();
+      }
     }
   }
 }
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarMessages.java
@@ -0,0 +1,104 @@
+package org.bulrushweir.sidecar;
+
+import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.delivery.RefusalKind;
+import org.bulrushweir.wire.generated.Accepted;
+import org.bulrushweir.wire.generated.CancelResult;
+import org.bulrushweir.wire.generated.Envelope;
+import org.bulrushweir.wire.generated.Refusal;
+import org.bulrushweir.wire.generated.Report;
+import org.bulrushweir.wire.generated.ResumeResult;
+import org.bulrushweir.wire.generated.ResumeState;
+
+/** Builds the messages that a sidecar sends to routers. */
+final class SidecarMessages {
+
+  private SidecarMessages() {}
+
+  /**
+   * Says that an attempt is queued or running.
+   *
+   * @param key the attempt
+   * @param incarnation the sidecar's incarnation
+   * @param report the endpoint's report
+   * @return the message
+   */
+  static Envelope.Builder accepted(
+      final AttemptKey key, final long incarnation, final Report report) {
+    return Envelope.newBuilder()
+        .setAccepted(
+            Accepted.newBuilder()
+                .setRequest(key.request().value())
+                .setAttempt(key.attempt())
+                .setIncarnation(incarnation)
+                .setReport(report));
+  }
+
+  /**
+   * Says that an attempt was not run and never will be.
+   *
+   * @param key the attempt
+   * @param kind why
+   * @param retryAfterMs when another try may succeed, in milliseconds
+   * @param movedTo where the chat's cache is, null if unknown
+   * @param detail a message for the caller
+   * @param report the endpoint's report
+   * @return the refusal
+   */
+  static Refusal refusal(
+      final AttemptKey key,
+      final RefusalKind kind,
+      final long retryAfterMs,
+      final EndpointId movedTo,
+      final String detail,
+      final Report report) {
+    return Refusal.newBuilder()
+        .setRequest(key.request().value())
+        .setAttempt(key.attempt())
+        .setReason(Refusals.toWire(kind))
+        .setRetryAfterMs((int) retryAfterMs)
+        .setMovedTo(movedTo == null ? "" : movedTo.value())
+        .setReport(report)
+        .setDetail(detail)
+        .build();
+  }
+
+  /**
+   * Answers a cancellation.
+   *
+   * @param key the attempt
+   * @param incarnation the sidecar's incarnation
+   * @param notStarted true if the attempt was not started and never will be
+   * @return the message
+   */
+  static Envelope.Builder cancelResult(
+      final AttemptKey key, final long incarnation, final boolean notStarted) {
+    return Envelope.newBuilder()
+        .setCancelResult(
+            CancelResult.newBuilder()
+                .setRequest(key.request().value())
+                .setAttempt(key.attempt())
+                .setIncarnation(incarnation)
+                .setNotStarted(notStarted));
+  }
+
+  /**
+   * Answers a request to resume.
+   *
+   * @param key the attempt
+   * @param incarnation the sidecar's incarnation
+   * @param state whether parts follow
+   * @return the message
+   */
+  static Envelope.Builder resumeResult(
+      final AttemptKey key, final long incarnation, final ResumeState state) {
+    return Envelope.newBuilder()
+        .setResumeResult(
+            ResumeResult.newBuilder()
+                .setRequest(key.request().value())
+                .setAttempt(key.attempt())
+                .setIncarnation(incarnation)
+                .setState(state));
+  }
+}
--- a/src/main/java/org/bulrushweir/sidecar/SidecarRun.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarRun.java
@@ -2,7 +2,7 @@
 
 import okhttp3.Call;
 import org.bulrushweir.admission.AttemptKey;
-import org.bulrushweir.admission.WorkItem;
+import org.bulrushweir.admission.Offer;
 import org.bulrushweir.delivery.AnswerBuffer;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.generated.Dispatch;
@@ -11,15 +11,34 @@
 /** Tracks one attempt at the sidecar. Guarded by the lock of {@link SidecarCore}. */
 final class SidecarRun {
 
+  /** The parts of the answer. */
   private final AnswerBuffer buffer = new AnswerBuffer();
+
+  /** The attempt. */
   private final AttemptKey key;
+
+  /** The message that asked for it, null for a tombstone. */
   private final Dispatch dispatch;
-  private final WorkItem item;
+
+  /** What admission knows of it, null for a tombstone. */
+  private final Offer item;
+
+  /** How far it has come. */
   private RunState state = RunState.QUEUED;
+
+  /** The connection to the router that follows it. */
   private PeerChannel channel;
-  private Call call;
+
+  /** The call that is under way at the endpoint, null if there is none. */
+  private volatile Call call;
+
+  /** What the router is told if the attempt is not run. */
   private Refusal refusal;
+
+  /** When the attempt is stopped, in milliseconds. */
   private long cancelAtMs = Long.MAX_VALUE;
+
+  /** When the attempt ended or was refused, in milliseconds. */
   private long settledAtMs;
 
   /**
@@ -31,10 +50,7 @@
    * @param channel the connection to the router, null for a tombstone
    */
   SidecarRun(
-      final Dispatch dispatch,
-      final AttemptKey key,
-      final WorkItem item,
-      final PeerChannel channel) {
+      final Dispatch dispatch, final AttemptKey key, final Offer item, final PeerChannel channel) {
     this.dispatch = dispatch;
     this.key = key;
     this.item = item;
@@ -53,7 +69,7 @@
     return dispatch;
   }
 
-  WorkItem item() {
+  Offer item() {
     return item;
   }
 
@@ -65,6 +81,11 @@
     return channel;
   }
 
+  /**
+   * Changes the router that follows the attempt; it is not to be stopped any more.
+   *
+   * @param newChannel the connection to the router
+   */
   void channel(final PeerChannel newChannel) {
     channel = newChannel;
     cancelAtMs = Long.MAX_VALUE;
@@ -86,19 +107,19 @@
     return settledAtMs;
   }
 
-  void run() {
+  void start() {
     state = RunState.RUNNING;
   }
 
-  /**
-   * Sets the call that is under way, so that it can be cancelled.
-   *
-   * @param newCall the call
-   */
   void call(final Call newCall) {
     call = newCall;
   }
 
+  /**
+   * Takes note that the attempt ran, wholly or in part.
+   *
+   * @param nowMs the current time
+   */
   void end(final long nowMs) {
     state = RunState.ENDED;
     settledAtMs = nowMs;
@@ -123,8 +144,9 @@
   /** Stops the call that is under way, if any. */
   void abort() {
     cancelAtMs = Long.MAX_VALUE;
-    if (call != null) {
-      call.cancel();
+    final Call current = call;
+    if (current != null) {
+      current.cancel();
     }
   }
 }
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -1,17 +1,35 @@
 package org.bulrushweir.sidecar;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.bulrushweir.admission.AdmissionSettings;
+import org.bulrushweir.admission.EndpointGate;
+import org.bulrushweir.affinity.ChatMemory;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.engine.EngineClient;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.node.ConfigService;
+import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
+import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.wire.PeerIdentity;
 
 /** Runs the sidecar's core, and lets work in flight end before the process stops. */
 public final class SidecarService implements KernelService {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How many chats are remembered at the most. */
+  private static final int REMEMBERED_CHATS = 200_000;
+
+  /** Applies until a configuration is in force. */
+  private static final AdmissionSettings UNCONFIGURED = new AdmissionSettings(1, 0, 1, Map.of());
+
   private static final long TICK_MS = 20;
   private static final long DRAIN_POLL_MS = 20;
   private static final long LINGER_MS = 1_000;
@@ -37,6 +55,42 @@
     this.configuration = configuration;
   }
 
+  /**
+   * Creates the service of a process.
+   *
+   * @param settings the process's settings
+   * @param self who this process is
+   * @param clock the clock
+   * @param platform the platform's store
+   * @param fleet what this process knows of the fleet
+   * @param peers the connections with peers
+   * @param configuration the configuration in force
+   * @return the service
+   */
+  public static SidecarService create(
+      final ProcessSettings settings,
+      final PeerIdentity self,
+      final Clock clock,
+      final PlatformStore platform,
+      final FleetService fleet,
+      final PeerService peers,
+      final ConfigService configuration) {
+    final long nowMs = clock.nowMs();
+    final EndpointGate gate =
+        new EndpointGate(
+            new EndpointId(self.node().value()),
+            self.incarnation(),
+            UNCONFIGURED,
+            new ChatMemory(REMEMBERED_CHATS, nowMs),
+            nowMs);
+    final RunExecutor executor =
+        new RunExecutor(
+            self, settings.service(), clock, new EngineClient(settings.endpoint()), platform);
+    final SidecarCore core =
+        new SidecarCore(self, settings.service(), clock, gate, executor, fleet);
+    return new SidecarService(core, peers, configuration);
+  }
+
   @Override
   public void start() {
     peers.addAcceptedListener(core);
--- /dev/null
+++ b/src/main/java/org/bulrushweir/wire/DatagramTransport.java
@@ -0,0 +1,95 @@
+package org.bulrushweir.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Sends and receives datagrams. */
+public final class DatagramTransport implements AutoCloseable {
+
+  /** How long closing may take, in milliseconds. */
+  private static final long CLOSE_TIMEOUT_MS = 1_000;
+
+  /** The thread that receives. */
+  private final EventLoopGroup group;
+
+  /** The bound socket. */
+  private final Channel channel;
+
+  private DatagramTransport(final EventLoopGroup group, final Channel channel) {
+    this.group = group;
+    this.channel = channel;
+  }
+
+  /**
+   * Binds a socket.
+   *
+   * @param host the IP number
+   * @param port the port
+   * @param receiver takes the datagrams that come; must not block
+   * @return the transport
+   */
+  public static DatagramTransport bind(
+      final String host, final int port, final Consumer<byte[]> receiver) {
+    final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final Channel channel =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver(receiver))
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+    return new DatagramTransport(group, channel);
+  }
+
+  /**
+   * Sends a datagram; it may be lost.
+   *
+   * @param host the receiver's IP number
+   * @param port the receiver's port
+   * @param content the content
+   */
+  public void send(final String host, final int port, final byte[] content) {
+    channel.writeAndFlush(
+        new DatagramPacket(Unpooled.wrappedBuffer(content), new InetSocketAddress(host, port)),
+        channel.voidPromise());
+  }
+
+  @Override
+  public void close() {
+    channel.close();
+    group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Passes datagrams on. */
+  private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    private final Consumer<byte[]> receiver;
+
+    private Receiver(final Consumer<byte[]> receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext context, final DatagramPacket packet) {
+      receiver.accept(ByteBufUtil.getBytes(packet.content()));
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      // A peer that does not listen any more is no fault of ours; datagrams may be lost.
+    }
+  }
+}
--- a/src/test/java/org/bulrushweir/process/Fleet.java
+++ b/src/test/java/org/bulrushweir/process/Fleet.java
@@ -109,6 +109,7 @@
         port = %d
         [platform]
         url = "http://%s:%d"
+        vm_poll_ms = 300
         timeout_ms = 500
         %s
         """
--- a/src/test/java/org/bulrushweir/process/WholePathProcessTest.java
+++ b/src/test/java/org/bulrushweir/process/WholePathProcessTest.java
@@ -94,8 +94,8 @@
         CompletableFuture.supplyAsync(() -> book("router-1", "pallet-1"));
     final CompletableFuture<HttpResponse<String>> second =
         CompletableFuture.supplyAsync(() -> book("router-2", "pallet-1"));
-    assertEquals(201, first.join().statusCode());
-    assertEquals(201, second.join().statusCode());
+    assertEquals(201, first.join().statusCode(), first.join().body());
+    assertEquals(201, second.join().statusCode(), second.join().body());
     assertEquals(first.join().body(), second.join().body());
     final JsonNode runs =
         mapper.readTree(
