--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -53,15 +53,19 @@
     settings = newSettings;
   }
 
-  /** Refuses all new attempts from now on. */
-  public void leave() {
-    leaving = true;
+  /**
+   * Says whether the endpoint takes new attempts.
+   *
+   * @param newLeaving true to refuse all new attempts from now on
+   */
+  public void leaving(final boolean newLeaving) {
+    leaving = newLeaving;
   }
 
   /**
    * Tells whether the endpoint is leaving.
    *
-   * @return true after {@link #leave()}
+   * @return true if it takes no new attempts
    */
   public boolean isLeaving() {
     return leaving;
--- a/src/main/java/org/bulrushweir/admission/EndpointGate.java
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -88,15 +88,19 @@
     admission.reconfigure(newSettings);
   }
 
-  /** Refuses all new attempts from now on. */
-  public void leave() {
-    admission.leave();
+  /**
+   * Says whether the endpoint takes new attempts.
+   *
+   * @param leaving true to refuse all new attempts from now on
+   */
+  public void leaving(final boolean leaving) {
+    admission.leaving(leaving);
   }
 
   /**
    * Tells whether the endpoint is leaving.
    *
-   * @return true after {@link #leave()}
+   * @return true if it takes no new attempts
    */
   public boolean isLeaving() {
     return admission.isLeaving();
@@ -252,6 +256,36 @@
     memory.remember(chat, new ChatLocation(endpoint, 0, nowMs));
   }
 
+  /**
+   * Takes note that the cache of a chat was brought here.
+   *
+   * @param chat the chat's hash
+   * @param tokens how many tokens are cached
+   * @param nowMs the current time
+   */
+  public void imported(final long chat, final int tokens, final long nowMs) {
+    memory.remember(chat, new ChatLocation(self, tokens, nowMs));
+  }
+
+  /**
+   * Lists the chats that ran here last.
+   *
+   * @return the chats, the one used last first
+   */
+  public List<Long> chatsHere() {
+    return memory.chatsAt(self);
+  }
+
+  /**
+   * Tells where a chat ran last.
+   *
+   * @param chat the chat's hash
+   * @return where, if it is remembered
+   */
+  public Optional<ChatLocation> location(final long chat) {
+    return memory.find(chat);
+  }
+
   /**
    * Makes a report for peers.
    *
--- a/src/main/java/org/bulrushweir/declaration/Declaration.java
+++ b/src/main/java/org/bulrushweir/declaration/Declaration.java
@@ -14,12 +14,14 @@
  * @param classes the classes of work by name, in the order of the text
  * @param organisations the organisations by id
  * @param services the services by name, in the order of the text
+ * @param weightStore how fast the weight store may be read, empty if it is not limited
  */
 public record Declaration(
     OptionalLong base,
     Map<String, WorkClass> classes,
     Map<OrganisationId, OrganisationDeclaration> organisations,
-    Map<ServiceName, ServiceDeclaration> services) {
+    Map<ServiceName, ServiceDeclaration> services,
+    Optional<WeightStoreDeclaration> weightStore) {
 
   /**
    * Finds the service that offers a model.
--- a/src/main/java/org/bulrushweir/declaration/DeclarationLoader.java
+++ b/src/main/java/org/bulrushweir/declaration/DeclarationLoader.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.Identifiers;
 import org.bulrushweir.api.InvalidInputException;
@@ -28,6 +30,7 @@
   private static final long MAXIMUM_DEADLINE_MS = 3_600_000;
   private static final int DEFAULT_OUTPUT_TOKENS = 200;
   private static final int MAXIMUM_OUTPUT_TOKENS = 1_000_000;
+  private static final double MAXIMUM_PERMITS = 100_000;
   private static final String KEY_DIGEST_PATTERN = "[0-9a-f]{64}";
 
   private DeclarationLoader() {}
@@ -51,6 +54,7 @@
     final Map<String, WorkClass> classes = classes(root);
     final Map<OrganisationId, OrganisationDeclaration> organisations = organisations(root);
     final Map<ServiceName, ServiceDeclaration> services = services(root);
+    final Optional<WeightStoreDeclaration> weightStore = weightStore(root);
     if (classes.isEmpty()) {
       root.report("no class of work is declared; add a table such as [classes.quick]");
     }
@@ -59,7 +63,18 @@
     }
     root.finish();
     findings.throwIfAny();
-    return new Declaration(base, classes, organisations, services);
+    return new Declaration(base, classes, organisations, services, weightStore);
+  }
+
+  private static Optional<WeightStoreDeclaration> weightStore(final TomlReader root) {
+    if (!root.has("weight_store")) {
+      return Optional.empty();
+    }
+    final TomlReader reader = root.table("weight_store");
+    return Optional.of(
+        new WeightStoreDeclaration(
+            reader.number("permits_per_minute", 1, 1 / MAXIMUM_PERMITS, MAXIMUM_PERMITS),
+            reader.number("burst", 1, 1, MAXIMUM_PERMITS)));
   }
 
   private static Map<String, WorkClass> classes(final TomlReader root) {
@@ -153,6 +168,7 @@
         (int) reader.integer("reserved_slots", slots / 4, 0, slots - 1),
         reader.choice("fencing", FencingPolicy.class, FencingPolicy.CHECKED),
         dependencies(reader),
+        drained(reader),
         models,
         operations(reader),
         (int) reader.integer("maximum_body_bytes", DEFAULT_BODY_BYTES, 1, MAXIMUM_BODY_BYTES));
@@ -170,6 +186,18 @@
     return names;
   }
 
+  private static List<EndpointId> drained(final TomlReader reader) {
+    final List<EndpointId> endpoints = new ArrayList<>();
+    for (final String text : reader.texts("drained")) {
+      if (Identifiers.isValid(text)) {
+        endpoints.add(new EndpointId(text));
+      } else {
+        reader.reportAt("drained", "\"" + text + "\" is not a valid endpoint name");
+      }
+    }
+    return endpoints;
+  }
+
   private static List<ModelDeclaration> models(final TomlReader service) {
     final List<ModelDeclaration> models = new ArrayList<>();
     service
--- a/src/main/java/org/bulrushweir/declaration/ServiceDeclaration.java
+++ b/src/main/java/org/bulrushweir/declaration/ServiceDeclaration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ModelName;
 import org.bulrushweir.api.ServiceName;
 
@@ -15,6 +16,7 @@
  * @param reservedSlots how many of the slots only short work may take
  * @param fencing who checks fencing numbers of orders
  * @param dependsOn the services that this one needs
+ * @param drained the endpoints that shall take no new work
  * @param models the models that it offers
  * @param operations the operations whose properties are declared
  * @param maximumBodyBytes the greatest allowed request body
@@ -27,6 +29,7 @@
     int reservedSlots,
     FencingPolicy fencing,
     List<ServiceName> dependsOn,
+    List<EndpointId> drained,
     List<ModelDeclaration> models,
     List<OperationDeclaration> operations,
     int maximumBodyBytes) {
--- a/src/main/java/org/bulrushweir/engine/EngineClient.java
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
@@ -26,6 +27,7 @@
   private static final String DATA_PREFIX = "data: ";
   private static final String DONE = "[DONE]";
   private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_CONFLICT = 409;
   private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_UNAVAILABLE = 503;
 
@@ -154,6 +156,81 @@
     }
   }
 
+  /**
+   * Asks the engine for its state.
+   *
+   * @return the state, empty if the engine does not answer
+   */
+  public Optional<EngineProtocol.EngineState> state() {
+    final Request request = new Request.Builder().url(url("/v1/state")).build();
+    try (Response response = client.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          mapper.readValue(response.body().bytes(), EngineProtocol.EngineState.class));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Gives the engine an order.
+   *
+   * @param order the order
+   * @return what became of it
+   */
+  public OrderResult order(final EngineProtocol.Order order) {
+    final Request request =
+        new Request.Builder()
+            .url(url("/v1/orders"))
+            .post(RequestBody.create(write(order), JSON))
+            .build();
+    try (Response response = client.newCall(request).execute()) {
+      if (response.code() == STATUS_CONFLICT) {
+        return OrderResult.FENCED;
+      }
+      return response.isSuccessful() ? OrderResult.DONE : OrderResult.FAILED;
+    } catch (IOException e) {
+      return OrderResult.FAILED;
+    }
+  }
+
+  /**
+   * Exports the cache of a chat.
+   *
+   * @param key names the chat
+   * @return the cache in the engine's own form, empty if the engine does not have it
+   */
+  public Optional<byte[]> exportCache(final String key) {
+    final Request request = new Request.Builder().url(url("/v1/cache/" + key)).build();
+    try (Response response = client.newCall(request).execute()) {
+      return response.isSuccessful() ? Optional.of(response.body().bytes()) : Optional.empty();
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Imports the cache of a chat.
+   *
+   * @param key names the chat
+   * @param content the cache in the engine's own form
+   * @return true if the engine has taken it
+   */
+  public boolean importCache(final String key, final byte[] content) {
+    final Request request =
+        new Request.Builder()
+            .url(url("/v1/cache/" + key))
+            .put(RequestBody.create(content, JSON))
+            .build();
+    try (Response response = client.newCall(request).execute()) {
+      return response.isSuccessful();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private HttpUrl url(final String path) {
     final HttpUrl resolved = base.resolve(path);
     if (resolved == null) {
--- a/src/main/java/org/bulrushweir/engine/EngineProtocol.java
+++ b/src/main/java/org/bulrushweir/engine/EngineProtocol.java
@@ -30,6 +30,7 @@
    * @param requestId the id by which the request can be resumed or cancelled
    * @param priority smaller numbers go first
    * @param continueFinalMessage whether the last message is the start of the answer
+   * @param cacheKey names the chat, so that its cache can be exported
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -40,7 +41,8 @@
       @JsonProperty("stream") Boolean stream,
       @JsonProperty("request_id") String requestId,
       @JsonProperty("priority") Integer priority,
-      @JsonProperty("continue_final_message") Boolean continueFinalMessage) {}
+      @JsonProperty("continue_final_message") Boolean continueFinalMessage,
+      @JsonProperty("cache_key") String cacheKey) {}
 
   /**
    * A part of an answer.
@@ -203,9 +205,9 @@
   public record CacheEvents(@JsonProperty("events") List<CacheEvent> events) {}
 
   /**
-   * Exported cache blocks of a prompt.
+   * The exported cache of a chat.
    *
-   * @param blocks the hashes of the blocks, from the start of the prompt
+   * @param blocks the hashes of its blocks, from the start of the prompt
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record CacheExport(@JsonProperty("blocks") List<Long> blocks) {}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics of a process, by the Prometheus client. */
+package org.bulrushweir.metrics;
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -303,6 +303,17 @@
     }
   }
 
+  /**
+   * Counts the endpoints.
+   *
+   * @return how many were heard of
+   */
+  public int size() {
+    synchronized (table) {
+      return table.size();
+    }
+  }
+
   /**
    * Composes gossip to a peer.
    *
--- a/src/main/java/org/bulrushweir/node/GossipService.java
+++ b/src/main/java/org/bulrushweir/node/GossipService.java
@@ -93,21 +93,23 @@
     executor.scheduleAtFixedRate(this::round, 0, ROUND_MS, TimeUnit.MILLISECONDS);
     configuration.addListener(
         config -> {
-          for (int count = 0; count < NEWS_FANOUT; count++) {
-            executor.execute(this::round);
-          }
+          announce();
         });
   }
 
   @Override
   public void stop() {
-    for (int count = 0; count < NEWS_FANOUT; count++) {
-      round();
-    }
     executor.shutdownNow();
     transport.close();
   }
 
+  /** Tells a few peers the news at once, without waiting for the next round. */
+  public void announce() {
+    for (int count = 0; count < NEWS_FANOUT; count++) {
+      executor.execute(this::round);
+    }
+  }
+
   /**
    * Counts the bytes of gossip.
    *
--- a/src/main/java/org/bulrushweir/node/PeerService.java
+++ b/src/main/java/org/bulrushweir/node/PeerService.java
@@ -6,6 +6,8 @@
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.timeline.EventLog;
+import org.bulrushweir.wire.EnvelopeStamp;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerIdentity;
 import org.bulrushweir.wire.PeerListener;
@@ -30,12 +32,17 @@
    * @param settings the process's settings
    * @param self who this process is
    * @param configuration the configuration in force
+   * @param events the events of this process, whose clock rides on messages
    */
   public PeerService(
-      final ProcessSettings settings, final PeerIdentity self, final ConfigService configuration) {
+      final ProcessSettings settings,
+      final PeerIdentity self,
+      final ConfigService configuration,
+      final EventLog events) {
     this.settings = settings;
     this.configuration = configuration;
-    this.transport = new PeerTransport(self, configuration::number);
+    this.transport =
+        new PeerTransport(self, new EnvelopeStamp(configuration::number, events.clock()));
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/node/ServiceNames.java
+++ b/src/main/java/org/bulrushweir/node/ServiceNames.java
@@ -27,5 +27,11 @@
   /** The sidecar's admission and runs. */
   public static final String SIDECAR = "sidecar";
 
+  /** The orders to the engine. */
+  public static final String ORDERS = "orders";
+
+  /** The answers to operators' questions. */
+  public static final String ADMIN = "admin";
+
   private ServiceNames() {}
 }
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Date;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -55,9 +56,9 @@
         .thenApply(
             reply -> {
               if (reply.status() == STATUS_NOT_FOUND) {
-                return Row.absent(key);
+                return new Row(key, 0, "", reply.timeMs());
               }
-              return toRow(parse(reply, PlatformProtocol.RowMessage.class));
+              return toRow(parse(reply, PlatformProtocol.RowMessage.class), reply.timeMs());
             });
   }
 
@@ -68,7 +69,7 @@
         .thenApply(
             reply ->
                 parse(reply, PlatformProtocol.RowsMessage.class).rows().stream()
-                    .map(HttpPlatformStore::toRow)
+                    .map(row -> toRow(row, reply.timeMs()))
                     .toList());
   }
 
@@ -118,11 +119,11 @@
     if (message.committed()) {
       return new CommitResult.Committed(message.version());
     }
-    return new CommitResult.Conflict(toRow(message.conflict()));
+    return new CommitResult.Conflict(toRow(message.conflict(), reply.timeMs()));
   }
 
-  private static Row toRow(final PlatformProtocol.RowMessage message) {
-    return new Row(message.key(), message.version(), message.value());
+  private static Row toRow(final PlatformProtocol.RowMessage message, final long timeMs) {
+    return new Row(message.key(), message.version(), message.value(), timeMs);
   }
 
   private static PlatformProtocol.TransactionMessage toMessage(final Transaction transaction) {
@@ -181,8 +182,9 @@
    *
    * @param status the HTTP status
    * @param body the body
+   * @param timeMs the platform's time, in milliseconds, zero if it was not told
    */
-  private record Reply(int status, String body) {}
+  private record Reply(int status, String body, long timeMs) {}
 
   /**
    * Completes a future from the HTTP client's callback.
@@ -201,7 +203,10 @@
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
-        future.complete(new Reply(response.code(), response.body().string()));
+        final Date date = response.headers().getDate("Date");
+        future.complete(
+            new Reply(
+                response.code(), response.body().string(), date == null ? 0 : date.getTime()));
       } catch (IOException e) {
         future.completeExceptionally(
             new PlatformException("the platform's answer broke off", true, e));
--- a/src/main/java/org/bulrushweir/platform/Row.java
+++ b/src/main/java/org/bulrushweir/platform/Row.java
@@ -6,8 +6,9 @@
  * @param key the row's key
  * @param version the row's version, zero if the row is absent
  * @param value the row's value, empty if the row is absent
+ * @param readAtMs when it was read, by the platform's clock, in milliseconds, zero if unknown
  */
-public record Row(String key, long version, String value) {
+public record Row(String key, long version, String value, long readAtMs) {
 
   /**
    * Describes a row that does not exist.
@@ -16,7 +17,7 @@
    * @return the absent row
    */
   public static Row absent(final String key) {
-    return new Row(key, 0, "");
+    return new Row(key, 0, "", 0);
   }
 
   /**
--- a/src/main/java/org/bulrushweir/process/NodeModule.java
+++ b/src/main/java/org/bulrushweir/process/NodeModule.java
@@ -12,6 +12,7 @@
 import org.bulrushweir.kernel.Kernel;
 import org.bulrushweir.kernel.ServiceFactory;
 import org.bulrushweir.kernel.SystemClock;
+import org.bulrushweir.metrics.FleetMetrics;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.GossipService;
@@ -19,6 +20,8 @@
 import org.bulrushweir.node.PlatformService;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.timeline.EventLog;
+import org.bulrushweir.timeline.HybridClock;
 import org.bulrushweir.wire.PeerIdentity;
 
 /** Provides what routers and sidecars have in common. */
@@ -39,6 +42,18 @@
     return new PeerIdentity(settings.node(), new Incarnation(clock.nowMs()), settings.zone());
   }
 
+  @Provides
+  @Singleton
+  static EventLog events(final ProcessSettings settings, final Clock clock) {
+    return new EventLog(settings.node(), new HybridClock(clock));
+  }
+
+  @Provides
+  @Singleton
+  static FleetMetrics metrics() {
+    return new FleetMetrics();
+  }
+
   @Provides
   @Singleton
   static Kernel kernel(final Map<String, ServiceFactory> factories) {
@@ -112,14 +127,16 @@
    *
    * @param settings the process's settings
    * @param self who this process is
+   * @param events the events of this process
    * @return the factory
    */
   @Provides
   @IntoMap
   @StringKey(ServiceNames.PEERS)
-  static ServiceFactory peers(final ProcessSettings settings, final PeerIdentity self) {
+  static ServiceFactory peers(
+      final ProcessSettings settings, final PeerIdentity self, final EventLog events) {
     return services ->
         new PeerService(
-            settings, self, services.find(ServiceNames.CONFIGURATION, ConfigService.class));
+            settings, self, services.find(ServiceNames.CONFIGURATION, ConfigService.class), events);
   }
 }
--- a/src/main/java/org/bulrushweir/router/EndpointLink.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLink.java
@@ -20,6 +20,9 @@
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.sidecar.Refusals;
+import org.bulrushweir.timeline.EventKind;
+import org.bulrushweir.timeline.EventLog;
+import org.bulrushweir.timeline.EventSubject;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerListener;
 import org.bulrushweir.wire.generated.Cancel;
@@ -43,6 +46,7 @@
   private final PeerService peers;
   private final Clock clock;
   private final FleetService fleet;
+  private final EventLog events;
   private PeerChannel channel;
   private CompletableFuture<PeerChannel> connecting;
   private long lastHeardMs;
@@ -55,16 +59,19 @@
    * @param peers opens connections
    * @param clock the clock
    * @param fleet what this process knows of the fleet
+   * @param events the events of this process
    */
   EndpointLink(
       final EndpointId endpoint,
       final PeerService peers,
       final Clock clock,
-      final FleetService fleet) {
+      final FleetService fleet,
+      final EventLog events) {
     this.endpoint = endpoint;
     this.peers = peers;
     this.clock = clock;
     this.fleet = fleet;
+    this.events = events;
   }
 
   /**
@@ -73,18 +80,18 @@
    * @param target where the endpoint is
    * @param key the attempt
    * @param dispatch the message
-   * @param events where the attempt's events go
+   * @param queue where the attempt's events go
    */
   void dispatch(
       final EndpointInfo target,
       final AttemptKey key,
       final Dispatch.Builder dispatch,
-      final BlockingQueue<RequestEvent> events) {
+      final BlockingQueue<RequestEvent> queue) {
     connection(target)
         .whenComplete(
             (open, failure) -> {
               if (failure != null) {
-                events.add(
+                queue.add(
                     new RequestEvent.Refused(
                         key.attempt(),
                         RefusalKind.UNREACHABLE,
@@ -93,7 +100,7 @@
                         "the endpoint can't be reached: " + failure.getMessage()));
                 return;
               }
-              register(open, key, events);
+              register(open, key, queue);
               open.send(
                   Envelope.newBuilder()
                       .setDispatch(dispatch.setIncarnation(open.remote().incarnation().value())));
@@ -101,14 +108,14 @@
   }
 
   private synchronized void register(
-      final PeerChannel open, final AttemptKey key, final BlockingQueue<RequestEvent> events) {
+      final PeerChannel open, final AttemptKey key, final BlockingQueue<RequestEvent> queue) {
     if (inFlight.isEmpty()) {
       lastHeardMs = clock.nowMs();
     }
     final InFlight known = inFlight.get(key);
     final long incarnation =
         known == null ? open.remote().incarnation().value() : known.incarnation();
-    inFlight.put(key, new InFlight(events, open, incarnation));
+    inFlight.put(key, new InFlight(queue, open, incarnation));
   }
 
   /**
@@ -120,7 +127,7 @@
    * @param organisation for whom the request runs
    * @param incarnation the life of the sidecar that the attempt was sent to, zero if this link has
    *     sent it itself
-   * @param events where the attempt's events go
+   * @param queue where the attempt's events go
    */
   void resume(
       final EndpointInfo target,
@@ -128,16 +135,16 @@
       final int nextSequence,
       final String organisation,
       final long incarnation,
-      final BlockingQueue<RequestEvent> events) {
+      final BlockingQueue<RequestEvent> queue) {
     final long sentTo = incarnation == 0 ? incarnationOf(key) : incarnation;
     connection(target)
         .whenComplete(
             (open, failure) -> {
               if (failure != null) {
-                events.add(new RequestEvent.ConnectionLost(key.attempt()));
+                queue.add(new RequestEvent.ConnectionLost(key.attempt()));
                 return;
               }
-              registerResumed(open, key, sentTo, events);
+              registerResumed(open, key, sentTo, queue);
               open.send(
                   Envelope.newBuilder()
                       .setResume(
@@ -165,11 +172,11 @@
       final PeerChannel open,
       final AttemptKey key,
       final long incarnation,
-      final BlockingQueue<RequestEvent> events) {
+      final BlockingQueue<RequestEvent> queue) {
     if (inFlight.isEmpty()) {
       lastHeardMs = clock.nowMs();
     }
-    inFlight.put(key, new InFlight(events, open, incarnation));
+    inFlight.put(key, new InFlight(queue, open, incarnation));
   }
 
   /**
@@ -223,6 +230,8 @@
               opened(opened);
             } else {
               fleet.failed(endpoint);
+              events.add(
+                  EventKind.ENDPOINT_UNREACHABLE, EventSubject.of(endpoint), failure.getMessage());
             }
           });
     }
@@ -282,7 +291,7 @@
         entry ->
             entry
                 .getValue()
-                .events()
+                .queue()
                 .add(new RequestEvent.ConnectionLost(entry.getKey().attempt())));
   }
 
@@ -386,7 +395,7 @@
       found = inFlight.get(new AttemptKey(new RequestId(request), attempt));
     }
     if (found != null) {
-      found.events().add(event);
+      found.queue().add(event);
     }
   }
 
@@ -398,10 +407,10 @@
   /**
    * Remembers where the events of an attempt go.
    *
-   * @param events the queue of the attempt's request
+   * @param queue the queue of the attempt's request
    * @param channel the connection over which it was sent or resumed
    * @param incarnation the life of the sidecar that it was sent to
    */
   private record InFlight(
-      BlockingQueue<RequestEvent> events, PeerChannel channel, long incarnation) {}
+      BlockingQueue<RequestEvent> queue, PeerChannel channel, long incarnation) {}
 }
--- a/src/main/java/org/bulrushweir/router/LinkService.java
+++ b/src/main/java/org/bulrushweir/router/LinkService.java
@@ -10,6 +10,7 @@
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
+import org.bulrushweir.timeline.EventLog;
 
 /** Keeps the router's links to endpoints . */
 public final class LinkService implements KernelService {
@@ -23,6 +24,7 @@
   private final PeerService peers;
   private final Clock clock;
   private final FleetService fleet;
+  private final EventLog events;
 
   /**
    * Creates the service.
@@ -30,11 +32,14 @@
    * @param peers opens connections
    * @param clock the clock
    * @param fleet what this process knows of the fleet
+   * @param events the events of this process
    */
-  public LinkService(final PeerService peers, final Clock clock, final FleetService fleet) {
+  public LinkService(
+      final PeerService peers, final Clock clock, final FleetService fleet, final EventLog events) {
     this.peers = peers;
     this.clock = clock;
     this.fleet = fleet;
+    this.events = events;
   }
 
   @Override
@@ -55,6 +60,6 @@
    * @return its link
    */
   EndpointLink link(final EndpointId endpoint) {
-    return links.computeIfAbsent(endpoint, id -> new EndpointLink(id, peers, clock, fleet));
+    return links.computeIfAbsent(endpoint, id -> new EndpointLink(id, peers, clock, fleet, events));
   }
 }
--- a/src/main/java/org/bulrushweir/router/RequestDriver.java
+++ b/src/main/java/org/bulrushweir/router/RequestDriver.java
@@ -11,11 +11,13 @@
 import org.bulrushweir.delivery.RequestMachine;
 import org.bulrushweir.delivery.RequestOutcome;
 import org.bulrushweir.delivery.ShareBudget;
+import org.bulrushweir.metrics.FleetMetrics;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.routing.CallCandidates;
 import org.bulrushweir.routing.ChatCandidates;
 import org.bulrushweir.routing.EndpointRanking;
 import org.bulrushweir.routing.EndpointView;
+import org.bulrushweir.timeline.EventLog;
 import org.bulrushweir.wire.generated.ChatMoved;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.Kind;
@@ -34,6 +36,8 @@
   private final FleetService fleet;
   private final Clock clock;
   private final RandomGenerator random;
+  private final EventLog events;
+  private final FleetMetrics metrics;
 
   /**
    * Creates the driver.
@@ -42,16 +46,22 @@
    * @param fleet what this process knows of the fleet
    * @param clock the clock
    * @param random spreads calls over endpoints
+   * @param events the events of this process
+   * @param metrics the metrics of this process
    */
   public RequestDriver(
       final LinkService links,
       final FleetService fleet,
       final Clock clock,
-      final RandomGenerator random) {
+      final RandomGenerator random,
+      final EventLog events,
+      final FleetMetrics metrics) {
     this.links = links;
     this.fleet = fleet;
     this.clock = clock;
     this.random = random;
+    this.events = events;
+    this.metrics = metrics;
   }
 
   /**
@@ -72,7 +82,10 @@
    * @throws InterruptedException if the thread is interrupted
    */
   RequestOutcome run(final RequestSpec spec, final AnswerSink sink) throws InterruptedException {
-    final RequestOutcome outcome = runner(spec, candidates(spec), sink).run();
+    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics);
+    meter.started();
+    final RequestOutcome outcome = runner(spec, candidates(spec), meter).run();
+    meter.finished(outcome);
     tellHome(spec, outcome);
     return outcome;
   }
@@ -89,7 +102,12 @@
   RequestOutcome takeOver(
       final RequestSpec spec, final StreamPosition position, final AnswerSink sink)
       throws InterruptedException {
-    return runner(spec, (tried, movedTo) -> Optional.empty(), sink).takeOver(position);
+    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics);
+    meter.started();
+    final RequestOutcome outcome =
+        runner(spec, (tried, movedTo) -> Optional.empty(), meter).takeOver(position);
+    meter.finished(outcome);
+    return outcome;
   }
 
   private RequestRunner runner(
@@ -104,7 +122,7 @@
             Long.MAX_VALUE,
             MAXIMUM_ATTEMPTS);
     final RequestMachine machine = new RequestMachine(limits, candidates, retryBudget, hedgeBudget);
-    return new RequestRunner(spec, machine, links, fleet, clock, sink);
+    return new RequestRunner(spec, machine, links, fleet, clock, sink, events);
   }
 
   private CandidateSource candidates(final RequestSpec spec) {
--- a/src/main/java/org/bulrushweir/router/RequestRunner.java
+++ b/src/main/java/org/bulrushweir/router/RequestRunner.java
@@ -18,6 +18,9 @@
 import org.bulrushweir.delivery.RequestOutcome;
 import org.bulrushweir.membership.EndpointInfo;
 import org.bulrushweir.node.FleetService;
+import org.bulrushweir.timeline.EventKind;
+import org.bulrushweir.timeline.EventLog;
+import org.bulrushweir.timeline.EventSubject;
 import org.bulrushweir.wire.generated.Dispatch;
 
 /** Drives the machine of one request: waits for events and carries out actions. Blocks. */
@@ -34,6 +37,7 @@
   private final FleetService fleet;
   private final Clock clock;
   private final AnswerSink sink;
+  private final EventLog log;
   private RequestOutcome outcome;
   private long incarnation;
   private boolean callerGone;
@@ -47,6 +51,7 @@
    * @param fleet what this process knows of the fleet
    * @param clock the clock
    * @param sink takes the answer
+   * @param log the events of this process
    */
   RequestRunner(
       final RequestSpec spec,
@@ -54,13 +59,15 @@
       final LinkService links,
       final FleetService fleet,
       final Clock clock,
-      final AnswerSink sink) {
+      final AnswerSink sink,
+      final EventLog log) {
     this.spec = spec;
     this.machine = machine;
     this.links = links;
     this.fleet = fleet;
     this.clock = clock;
     this.sink = sink;
+    this.log = log;
   }
 
   /**
@@ -122,11 +129,16 @@
     }
   }
 
+  private void record(final EventKind kind, final int attempt, final EndpointId endpoint) {
+    log.add(kind, EventSubject.of(spec.id(), attempt, endpoint), "");
+  }
+
   private AttemptKey key(final int attempt) {
     return new AttemptKey(spec.id(), attempt);
   }
 
   private void dispatch(final RequestAction.Dispatch action) {
+    record(EventKind.ATTEMPT_SENT, action.attempt(), action.endpoint());
     attempts.put(action.attempt(), action.endpoint());
     final Optional<EndpointInfo> target = fleet.find(action.endpoint());
     if (target.isEmpty()) {
@@ -167,6 +179,7 @@
   }
 
   private void resume(final RequestAction.Resume action) {
+    record(EventKind.ATTEMPT_RESUMED, action.attempt(), action.endpoint());
     attempts.put(action.attempt(), action.endpoint());
     final Optional<EndpointInfo> target = fleet.find(action.endpoint());
     if (target.isEmpty()) {
@@ -185,6 +198,7 @@
   }
 
   private void cancel(final RequestAction.Cancel action) {
+    record(EventKind.ATTEMPT_CANCELLED, action.attempt(), action.endpoint());
     final long graceMs = callerGone ? CALLER_GONE_GRACE_MS : 0;
     fleet
         .find(action.endpoint())
--- a/src/main/java/org/bulrushweir/router/RouterHttpService.java
+++ b/src/main/java/org/bulrushweir/router/RouterHttpService.java
@@ -10,12 +10,12 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.RequestId;
 import org.bulrushweir.configuration.AcceptedConfig;
 import org.bulrushweir.delivery.RefusalKind;
 import org.bulrushweir.delivery.RequestOutcome;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.metrics.FleetMetrics;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.settings.ProcessSettings;
 
@@ -35,7 +35,7 @@
   private final ProcessSettings settings;
   private final ConfigService configuration;
   private final RequestDriver driver;
-  private final Clock clock;
+  private final FleetMetrics metrics;
   private Javalin server;
   private volatile boolean draining;
   private volatile boolean closed;
@@ -46,17 +46,17 @@
    * @param settings the process's settings
    * @param configuration the configuration in force
    * @param driver runs requests
-   * @param clock the clock
+   * @param metrics the metrics of this process
    */
   public RouterHttpService(
       final ProcessSettings settings,
       final ConfigService configuration,
       final RequestDriver driver,
-      final Clock clock) {
+      final FleetMetrics metrics) {
     this.settings = settings;
     this.configuration = configuration;
     this.driver = driver;
-    this.clock = clock;
+    this.metrics = metrics;
   }
 
   @Override
@@ -76,6 +76,8 @@
   private void addRoutes(final JavalinConfig config) {
     config.routes.get("/health", ctx -> ctx.result("ok"));
     config.routes.get("/ready", this::ready);
+    config.routes.get(
+        "/metrics", ctx -> ctx.contentType(FleetMetrics.MEDIA_TYPE).result(metrics.text()));
     config.routes.post("/v1/chat/completions", ctx -> serve(ctx, this::chat));
     config.routes.get("/services/{service}/<path>", ctx -> serve(ctx, this::call));
     config.routes.post("/services/{service}/<path>", ctx -> serve(ctx, this::call));
@@ -93,6 +95,24 @@
     return server.port();
   }
 
+  /**
+   * Counts the requests in flight.
+   *
+   * @return the number of requests
+   */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /**
+   * Tells whether the router is stopping.
+   *
+   * @return true if it is draining
+   */
+  public boolean isDraining() {
+    return draining;
+  }
+
   @Override
   public void stop() {
     draining = true;
--- a/src/main/java/org/bulrushweir/sidecar/ChatRequests.java
+++ b/src/main/java/org/bulrushweir/sidecar/ChatRequests.java
@@ -38,7 +38,8 @@
         true,
         new RequestId(dispatch.getRequest()) + "-" + dispatch.getAttempt(),
         priority,
-        continued ? true : null);
+        continued ? true : null,
+        CacheHandover.cacheKey(dispatch.getChat()));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/sidecar/ClaimStore.java
+++ b/src/main/java/org/bulrushweir/sidecar/ClaimStore.java
@@ -53,7 +53,7 @@
     try {
       final String json = mapper.writeValueAsString(row);
       final CommitResult result =
-          store.commit(Transaction.replace(new Row(key, version, ""), json)).join();
+          store.commit(Transaction.replace(new Row(key, version, "", 0), json)).join();
       return switch (result) {
         case CommitResult.Committed committed -> new ClaimEvent.Written(committed.version());
         case CommitResult.Conflict conflict -> found(conflict.current());
--- a/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
@@ -24,6 +24,7 @@
 import org.bulrushweir.runonce.ClaimRow;
 import org.bulrushweir.runonce.ClaimState;
 import org.bulrushweir.wire.PeerIdentity;
+import org.bulrushweir.wire.generated.CacheTransfer;
 import org.bulrushweir.wire.generated.Dispatch;
 import org.bulrushweir.wire.generated.Kind;
 
@@ -214,10 +215,27 @@
     return "claims/" + dispatch.getOrganisation() + "/" + digest;
   }
 
+  /**
+   * Brings the cache of a chat to the engine.
+   *
+   * @param transfer the cache
+   * @param done is run once the engine has taken it
+   */
+  void importCache(final CacheTransfer transfer, final Runnable done) {
+    threads.execute(
+        () -> {
+          final boolean taken =
+              engine.importCache(
+                  CacheHandover.cacheKey(transfer.getChat()), transfer.getContent().toByteArray());
+          if (taken) {
+            done.run();
+          }
+        });
+  }
+
   @Override
   public void close() {
     threads.shutdownNow();
-    engine.close();
   }
 
   /** Appends tokens to the buffer of a run, and measures the time between them. */
--- a/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
@@ -24,9 +24,13 @@
 import org.bulrushweir.membership.EndpointReport;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.ReportMessages;
+import org.bulrushweir.timeline.EventKind;
+import org.bulrushweir.timeline.EventLog;
+import org.bulrushweir.timeline.EventSubject;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.PeerIdentity;
 import org.bulrushweir.wire.PeerListener;
+import org.bulrushweir.wire.generated.CacheTransfer;
 import org.bulrushweir.wire.generated.Cancel;
 import org.bulrushweir.wire.generated.ChatMoved;
 import org.bulrushweir.wire.generated.Dispatch;
@@ -73,9 +77,18 @@
   /** What this process knows of the fleet. */
   private final FleetService fleet;
 
+  /** The events of this process. */
+  private final EventLog events;
+
   /** The configuration in force, null before the first one. */
   private AcceptedConfig config;
 
+  /** Whether an operator has asked that the endpoint be drained, or the process is stopping. */
+  private boolean drainRequested;
+
+  /** Whether the operators' text says that the endpoint shall be drained. */
+  private boolean drainDeclared;
+
   /**
    * Creates the core of a sidecar.
    *
@@ -85,6 +98,7 @@
    * @param gate decides what is accepted and what runs next
    * @param executor runs attempts at the endpoint
    * @param fleet what this process knows of the fleet
+   * @param events the events of this process
    */
   SidecarCore(
       final PeerIdentity self,
@@ -92,13 +106,15 @@
       final Clock clock,
       final EndpointGate gate,
       final RunExecutor executor,
-      final FleetService fleet) {
+      final FleetService fleet,
+      final EventLog events) {
     this.self = self;
     this.serviceName = serviceName;
     this.clock = clock;
     this.gate = gate;
     this.executor = executor;
     this.fleet = fleet;
+    this.events = events;
   }
 
   /**
@@ -110,16 +126,53 @@
     config = newConfig;
     final ServiceDeclaration service = newConfig.declaration().services().get(serviceName);
     if (service != null) {
+      drainDeclared = service.drained().contains(new EndpointId(self.node().value()));
+      updateLeaving();
       gate.reconfigure(AdmissionSettingsReader.read(newConfig.declaration(), service));
     }
     dispatchDeferred();
     pump();
   }
 
-  /** Refuses all new work from now on. */
+  /** Refuses all new work until an operator's text or the process's end says otherwise. */
   public synchronized void leave() {
-    gate.leave();
-    report();
+    drainRequested = true;
+    updateLeaving();
+  }
+
+  private void updateLeaving() {
+    final boolean leaving = drainRequested || drainDeclared;
+    if (leaving != gate.isLeaving()) {
+      gate.leaving(leaving);
+      events.add(
+          leaving ? EventKind.ENDPOINT_LEAVING : EventKind.ENDPOINT_RETURNED,
+          EventSubject.of(new EndpointId(self.node().value())),
+          gate.inFlight() + " attempts in flight");
+      report();
+    }
+  }
+
+  /**
+   * Tells whether the endpoint takes no new work.
+   *
+   * @return true if it is leaving
+   */
+  public synchronized boolean isLeaving() {
+    return gate.isLeaving();
+  }
+
+  /**
+   * Lists the chats that ran here last.
+   *
+   * @return the chats, the one used last first
+   */
+  synchronized List<CacheHandover.RememberedChat> chatsHere() {
+    final List<CacheHandover.RememberedChat> chats = new ArrayList<>();
+    for (final Long chat : gate.chatsHere()) {
+      gate.location(chat)
+          .ifPresent(location -> chats.add(new CacheHandover.RememberedChat(chat, location)));
+    }
+    return chats;
   }
 
   /**
@@ -148,6 +201,7 @@
       case CANCEL -> cancel(channel, envelope.getCancel());
       case RESUME -> resume(channel, envelope.getResume());
       case CHAT_MOVED -> moved(envelope.getChatMoved());
+      case CACHE_TRANSFER -> cacheTransferred(envelope.getCacheTransfer());
       case DRAIN_REQUEST -> drain(channel);
       default -> {
         // Other messages are for other listeners.
@@ -178,6 +232,16 @@
     }
   }
 
+  private void cacheTransferred(final CacheTransfer transfer) {
+    executor.importCache(
+        transfer,
+        () -> {
+          synchronized (this) {
+            gate.imported(transfer.getChat(), transfer.getTokens(), clock.nowMs());
+          }
+        });
+  }
+
   /** Lets an attempt wait for the configuration under which its router has sent it. */
   private synchronized void dispatchWhenReady(
       final PeerChannel channel, final long configNumber, final Dispatch dispatch) {
@@ -266,6 +330,7 @@
       case AdmissionDecision.Admitted admitted -> {
         final SidecarRun run = new SidecarRun(dispatch, key, offer, channel);
         runs.put(key, run);
+        record(EventKind.ATTEMPT_ADMITTED, key, "");
         channel.send(SidecarMessages.accepted(key, self.incarnation().value(), report()));
         run.buffer().subscribe(new ChannelSubscriber(key, channel, this::report), 0);
         pump();
@@ -289,6 +354,13 @@
         nowMs + startWithinMs);
   }
 
+  private void record(final EventKind kind, final AttemptKey key, final String detail) {
+    events.add(
+        kind,
+        EventSubject.of(key.request(), key.attempt(), new EndpointId(self.node().value())),
+        detail);
+  }
+
   /** Makes a report and keeps it where peers and this sidecar's own decisions find it. */
   private synchronized Report report() {
     final EndpointReport report = gate.report(clock.nowMs());
@@ -306,6 +378,7 @@
         SidecarMessages.refusal(
             key, refused.kind(), refused.retryAfterMs(), refused.movedTo(), detail, report());
     bury(key, refusal);
+    record(EventKind.ATTEMPT_REFUSED, key, refused.kind().name());
     channel.send(Envelope.newBuilder().setRefusal(refusal));
   }
 
@@ -389,6 +462,7 @@
     while (next.isPresent()) {
       final SidecarRun run = runs.get(next.get().key());
       run.start();
+      record(EventKind.ATTEMPT_STARTED, run.key(), "");
       executor.execute(run, new CoreRunListener());
       next = gate.startNext(clock.nowMs());
     }
@@ -424,6 +498,7 @@
   private void refuseAccepted(final SidecarRun run, final RefusalKind kind, final String detail) {
     final Refusal refusal = SidecarMessages.refusal(run.key(), kind, 0, null, detail, report());
     run.refuse(refusal, clock.nowMs());
+    record(EventKind.ATTEMPT_REFUSED, run.key(), kind.name());
     run.channel().send(Envelope.newBuilder().setRefusal(refusal));
   }
 
@@ -458,6 +533,7 @@
       synchronized (SidecarCore.this) {
         run.end(clock.nowMs());
         gate.finish(run.key(), cachedTokens(end), clock.nowMs());
+        record(EventKind.ATTEMPT_ENDED, run.key(), end.getClass().getSimpleName());
         pump();
       }
       run.buffer().end(end);
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -1,6 +1,8 @@
 package org.bulrushweir.sidecar;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,9 +16,11 @@
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.node.FleetService;
+import org.bulrushweir.node.GossipService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.platform.PlatformStore;
 import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.timeline.EventLog;
 import org.bulrushweir.wire.PeerIdentity;
 
 /** Runs the sidecar's core, and lets work in flight end before the process stops. */
@@ -38,6 +42,8 @@
       Executors.newSingleThreadScheduledExecutor(
           Thread.ofPlatform().name("sidecar").daemon().factory());
   private final SidecarCore core;
+  private final CacheHandover handover;
+  private final GossipService gossip;
   private final PeerService peers;
   private final ConfigService configuration;
 
@@ -45,12 +51,20 @@
    * Creates the service.
    *
    * @param core the sidecar's core
+   * @param handover hands caches to other endpoints
+   * @param gossip the exchange of reports with peers
    * @param peers the connections with peers
    * @param configuration the configuration in force
    */
   public SidecarService(
-      final SidecarCore core, final PeerService peers, final ConfigService configuration) {
+      final SidecarCore core,
+      final CacheHandover handover,
+      final GossipService gossip,
+      final PeerService peers,
+      final ConfigService configuration) {
     this.core = core;
+    this.handover = handover;
+    this.gossip = gossip;
     this.peers = peers;
     this.configuration = configuration;
   }
@@ -61,8 +75,11 @@
    * @param settings the process's settings
    * @param self who this process is
    * @param clock the clock
+   * @param engine calls the endpoint
+   * @param events the events of this process
    * @param platform the platform's store
    * @param fleet what this process knows of the fleet
+   * @param gossip the exchange of reports with peers
    * @param peers the connections with peers
    * @param configuration the configuration in force
    * @return the service
@@ -71,8 +88,11 @@
       final ProcessSettings settings,
       final PeerIdentity self,
       final Clock clock,
+      final EngineClient engine,
+      final EventLog events,
       final PlatformStore platform,
       final FleetService fleet,
+      final GossipService gossip,
       final PeerService peers,
       final ConfigService configuration) {
     final long nowMs = clock.nowMs();
@@ -83,12 +103,13 @@
             UNCONFIGURED,
             new ChatMemory(REMEMBERED_CHATS, nowMs),
             nowMs);
-    final RunExecutor executor =
-        new RunExecutor(
-            self, settings.service(), clock, new EngineClient(settings.endpoint()), platform);
+    final RunExecutor executor = new RunExecutor(self, settings.service(), clock, engine, platform);
     final SidecarCore core =
-        new SidecarCore(self, settings.service(), clock, gate, executor, fleet);
-    return new SidecarService(core, peers, configuration);
+        new SidecarCore(self, settings.service(), clock, gate, executor, fleet, events);
+    final CacheHandover handover =
+        new CacheHandover(
+            new EndpointId(self.node().value()), settings.service(), clock, engine, fleet, peers);
+    return new SidecarService(core, handover, gossip, peers, configuration);
   }
 
   @Override
@@ -110,16 +131,30 @@
   @Override
   public void stop() {
     core.leave();
+    gossip.announce();
     logger.atInfo().log("leaving; %d attempts in flight", core.inFlight());
+    final List<CacheHandover.RememberedChat> chats = core.chatsHere();
+    int handedOver = handover.run(chats);
     try {
       while (core.inFlight() > 0) {
         Thread.sleep(DRAIN_POLL_MS);
       }
+      handedOver += handover.run(newer(core.chatsHere(), chats));
       Thread.sleep(LINGER_MS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    logger.atInfo().log("handed over the caches of %d chats", handedOver);
     timer.shutdownNow();
     core.close();
   }
+
+  /** Finds the chats that ran after they were listed. */
+  private static List<CacheHandover.RememberedChat> newer(
+      final List<CacheHandover.RememberedChat> now,
+      final List<CacheHandover.RememberedChat> before) {
+    final List<CacheHandover.RememberedChat> newer = new ArrayList<>(now);
+    newer.removeAll(before);
+    return newer;
+  }
 }
--- /dev/null
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarStatus.java
@@ -0,0 +1,41 @@
+package org.bulrushweir.sidecar;
+
+import org.bulrushweir.metrics.FleetMetrics;
+import org.bulrushweir.node.StatusSource;
+import org.bulrushweir.placement.LoadedModel;
+import org.bulrushweir.wire.generated.StatusReport;
+
+/** Tells the status of a sidecar and its endpoint. */
+public final class SidecarStatus implements StatusSource {
+
+  /** The sidecar's core. */
+  private final SidecarCore core;
+
+  /** The orders to the engine. */
+  private final OrderService orders;
+
+  /**
+   * Creates the source, and the gauges that show the same.
+   *
+   * @param core the sidecar's core
+   * @param orders the orders to the engine
+   * @param metrics the metrics of this process
+   */
+  public SidecarStatus(
+      final SidecarCore core, final OrderService orders, final FleetMetrics metrics) {
+    this.core = core;
+    this.orders = orders;
+    metrics.gauge(
+        "bulrushweir_load", "The work that the endpoint carries, in work units.", core::load);
+    metrics.gauge(
+        "bulrushweir_in_flight", "How many attempts are queued or running.", core::inFlight);
+  }
+
+  @Override
+  public void describe(final StatusReport.Builder report) {
+    report.setInFlight(core.inFlight()).setLoad((int) core.load()).setLeaving(core.isLeaving());
+    for (final LoadedModel model : orders.loaded()) {
+      report.addModels(model.name() + "@" + model.version());
+    }
+  }
+}
--- a/src/main/java/org/bulrushweir/standin/EngineStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/EngineStandIn.java
@@ -26,6 +26,7 @@
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final Map<String, EngineRun> runs = new ConcurrentHashMap<>();
+  private final Map<String, EngineRun> runsByCacheKey = new ConcurrentHashMap<>();
   private final Map<String, EngineProtocol.LoadedModel> models = new TreeMap<>();
   private final AtomicInteger started = new AtomicInteger();
   private final EngineOptions options;
@@ -63,8 +64,8 @@
     config.routes.delete("/v1/requests/{id}", this::cancel);
     config.routes.get("/v1/load", ctx -> ctx.json(scheduler.laggingLoad()));
     config.routes.get("/v1/cache/events", this::cacheEvents);
-    config.routes.post("/v1/cache/export", this::exportCache);
-    config.routes.post("/v1/cache/import", this::importCache);
+    config.routes.get("/v1/cache/{key}", this::exportCache);
+    config.routes.put("/v1/cache/{key}", this::importCache);
     config.routes.post("/v1/orders", this::order);
     config.routes.get("/v1/state", ctx -> ctx.json(engineState()));
     config.routes.get("/health", ctx -> ctx.result("ok"));
@@ -103,6 +104,9 @@
     if (request.requestId() != null) {
       runs.put(request.requestId(), run);
     }
+    if (request.cacheKey() != null) {
+      runsByCacheKey.put(request.cacheKey(), run);
+    }
     scheduler.add(run);
     if (Boolean.TRUE.equals(request.stream())) {
       stream(ctx, run, 0, request.model());
@@ -208,7 +212,11 @@
   }
 
   private void exportCache(final Context ctx) {
-    final EngineRun run = toRun(ctx.bodyAsClass(EngineProtocol.ChatRequest.class));
+    final EngineRun run = runsByCacheKey.get(ctx.pathParam("key"));
+    if (run == null) {
+      ctx.status(HttpStatus.NOT_FOUND);
+      return;
+    }
     synchronized (scheduler) {
       ctx.json(new EngineProtocol.CacheExport(cache.cachedBlocks(run.blocksWithAnswer())));
     }
--- a/src/main/java/org/bulrushweir/standin/PlatformState.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformState.java
@@ -81,7 +81,7 @@
       rows.remove(write.key());
       return;
     }
-    rows.put(write.key(), new Row(write.key(), lastVersion, write.value()));
+    rows.put(write.key(), new Row(write.key(), lastVersion, write.value(), 0));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/wire/PeerChannel.java
+++ b/src/main/java/org/bulrushweir/wire/PeerChannel.java
@@ -1,7 +1,6 @@
 package org.bulrushweir.wire;
 
 import io.netty.channel.Channel;
-import java.util.function.LongSupplier;
 import org.bulrushweir.wire.generated.Envelope;
 
 /** Sends messages over one connection to a peer. */
@@ -9,29 +8,28 @@
 
   private final Channel channel;
   private final PeerIdentity remote;
-  private final LongSupplier configNumber;
+  private final EnvelopeStamp stamp;
 
   /**
    * Wraps a connection whose handshake is done.
    *
    * @param channel the connection
    * @param remote who is at the other end
-   * @param configNumber the number that rides on every message
+   * @param stamp puts on every message what rides on all
    */
-  PeerChannel(final Channel channel, final PeerIdentity remote, final LongSupplier configNumber) {
+  PeerChannel(final Channel channel, final PeerIdentity remote, final EnvelopeStamp stamp) {
     this.channel = channel;
     this.remote = remote;
-    this.configNumber = configNumber;
+    this.stamp = stamp;
   }
 
   /**
    * Sends a message; it is lost if the connection ends.
    *
-   * @param envelope the message, without configuration number
+   * @param envelope the message, unstamped
    */
   public void send(final Envelope.Builder envelope) {
-    channel.writeAndFlush(
-        envelope.setConfigNumber(configNumber.getAsLong()).build(), channel.voidPromise());
+    channel.writeAndFlush(stamp.stamp(envelope), channel.voidPromise());
   }
 
   /**
--- a/src/main/java/org/bulrushweir/wire/PeerHandler.java
+++ b/src/main/java/org/bulrushweir/wire/PeerHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongSupplier;
 import org.bulrushweir.api.Identifiers;
 import org.bulrushweir.api.Incarnation;
 import org.bulrushweir.api.NodeId;
@@ -19,7 +18,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final PeerIdentity self;
-  private final LongSupplier configNumber;
+  private final EnvelopeStamp stamp;
   private final PeerListener listener;
   private final CompletableFuture<PeerChannel> opened;
   private PeerChannel peer;
@@ -28,17 +27,17 @@
    * Creates a handler for one connection.
    *
    * @param self who this process is
-   * @param configNumber the number that rides on every message
+   * @param stamp puts on every message what rides on all
    * @param listener hears the messages
    * @param opened completes when the peer's hello has come
    */
   PeerHandler(
       final PeerIdentity self,
-      final LongSupplier configNumber,
+      final EnvelopeStamp stamp,
       final PeerListener listener,
       final CompletableFuture<PeerChannel> opened) {
     this.self = self;
-    this.configNumber = configNumber;
+    this.stamp = stamp;
     this.listener = listener;
     this.opened = opened;
   }
@@ -51,12 +50,12 @@
             .setIncarnation(self.incarnation().value())
             .setZone(self.zone().value())
             .build();
-    context.writeAndFlush(
-        Envelope.newBuilder().setConfigNumber(configNumber.getAsLong()).setHello(hello).build());
+    context.writeAndFlush(stamp.stamp(Envelope.newBuilder().setHello(hello)));
   }
 
   @Override
   protected void channelRead0(final ChannelHandlerContext context, final Envelope envelope) {
+    stamp.observe(envelope);
     if (peer == null) {
       greet(context, envelope);
       return;
@@ -82,7 +81,7 @@
             new NodeId(hello.getNode()),
             new Incarnation(hello.getIncarnation()),
             new ZoneName(hello.getZone()));
-    peer = new PeerChannel(context.channel(), remote, configNumber);
+    peer = new PeerChannel(context.channel(), remote, stamp);
     opened.complete(peer);
     listener.received(peer, envelope);
   }
--- a/src/main/java/org/bulrushweir/wire/PeerTransport.java
+++ b/src/main/java/org/bulrushweir/wire/PeerTransport.java
@@ -19,7 +19,6 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.bulrushweir.wire.generated.Envelope;
 
 /** Opens and accepts connections between the fleet's processes. */
@@ -34,17 +33,17 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
   private final PeerIdentity self;
-  private final LongSupplier configNumber;
+  private final EnvelopeStamp stamp;
 
   /**
    * Creates the transport.
    *
    * @param self who this process is
-   * @param configNumber the number that rides on every message
+   * @param stamp puts on every message what rides on all
    */
-  public PeerTransport(final PeerIdentity self, final LongSupplier configNumber) {
+  public PeerTransport(final PeerIdentity self, final EnvelopeStamp stamp) {
     this.self = self;
-    this.configNumber = configNumber;
+    this.stamp = stamp;
   }
 
   /**
@@ -127,7 +126,7 @@
             .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
             .addLast(new LengthFieldPrepender(LENGTH_BYTES))
             .addLast(new ProtobufEncoder())
-            .addLast(new PeerHandler(self, configNumber, listener, opened));
+            .addLast(new PeerHandler(self, stamp, listener, opened));
       }
     };
   }
