Submit says what it was edited from; sidecar proves not-run with a ledger

A submission is a machine without I/O: each number has a row of its own, so that a lost answer is settled even if others were accepted since; a text without a base is refused once a configuration is in force, as it might undo another operator's change. show prints the present text ready for editing.

The sidecar's bookkeeping moved into a ledger without I/O, and a router's newest connection voids what still comes over its older ones: without that, a dispatch held back longer than the ledger's memory could run after its caller was told not-run.

--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.declaration.WorkClass;
 import org.bulrushweir.delivery.RefusalKind;
--- a/src/main/java/org/bulrushweir/admission/EndpointGate.java
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.bulrushweir.affinity.ChatLocation;
 import org.bulrushweir.affinity.ChatMemory;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.Incarnation;
 import org.bulrushweir.delivery.RefusalKind;
--- a/src/main/java/org/bulrushweir/admission/WorkItem.java
+++ b/src/main/java/org/bulrushweir/admission/WorkItem.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.admission;
 
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.declaration.WorkClass;
 
--- a/src/main/java/org/bulrushweir/admission/AttemptKey.java
+++ b/src/main/java/org/bulrushweir/api/AttemptKey.java
@@ -1,6 +1,4 @@
-package org.bulrushweir.admission;
-
-import org.bulrushweir.api.RequestId;
+package org.bulrushweir.api;
 
 /**
  * Identifies one attempt of a request.
--- a/src/main/java/org/bulrushweir/command/Main.java
+++ b/src/main/java/org/bulrushweir/command/Main.java
@@ -21,6 +21,7 @@
                 ProcessCommand.sidecar(),
                 new CheckCommand(),
                 new SubmitCommand(),
+                new ShowCommand(),
                 new StatusCommand(),
                 new DrainCommand(),
                 new TimelineCommand(),
--- a/src/main/java/org/bulrushweir/command/Submission.java
+++ b/src/main/java/org/bulrushweir/command/Submission.java
@@ -2,120 +2,129 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletionException;
-import org.bulrushweir.api.ConfigNumber;
+import org.bulrushweir.configuration.ConfigDifference;
 import org.bulrushweir.configuration.ConfigHead;
 import org.bulrushweir.configuration.ConfigMachine;
+import org.bulrushweir.configuration.SubmitAction;
+import org.bulrushweir.configuration.SubmitEvent;
+import org.bulrushweir.configuration.SubmitMachine;
 import org.bulrushweir.configuration.SubmitResult;
-import org.bulrushweir.declaration.Declaration;
-import org.bulrushweir.declaration.DeclarationLoader;
 import org.bulrushweir.platform.CommitResult;
+import org.bulrushweir.platform.Condition;
 import org.bulrushweir.platform.PlatformException;
 import org.bulrushweir.platform.PlatformStore;
 import org.bulrushweir.platform.Row;
 import org.bulrushweir.platform.Transaction;
+import org.bulrushweir.platform.Write;
 
-/** Gets a text accepted: stores it, then moves the head row, reading back lost answers. */
+/** Carries out what the machine of a submission decides. */
 final class Submission {
 
-  private static final int READ_BACK_ATTEMPTS = 10;
-  private static final long READ_BACK_INTERVAL_MS = 500;
-
+  /** Reads and writes rows as JSON. */
   private final ObjectMapper mapper = new ObjectMapper();
+
+  /** The platform's store. */
   private final PlatformStore store;
 
+  /** The text. */
+  private final String text;
+
+  /** Decides what to do. */
+  private final SubmitMachine machine;
+
   /**
    * Creates a submission.
    *
    * @param store the platform's store
+   * @param text the text, checked already
+   * @param base the number that the text was edited from, empty if it is the first text
    */
-  Submission(final PlatformStore store) {
+  Submission(final PlatformStore store, final String text, final OptionalLong base) {
     this.store = store;
+    this.text = text;
+    this.machine =
+        new SubmitMachine(ConfigMachine.digest(text), UUID.randomUUID().toString(), base);
   }
 
   /**
-   * Submits a text.
+   * Submits the text.
    *
-   * @param source the name of the file
-   * @param text the text
-   * @param baseOption the number it was edited from, null to take it from the text
    * @return what became of it
+   * @throws InterruptedException if the thread is interrupted
    */
-  SubmitResult submit(final String source, final String text, final Long baseOption) {
-    final Declaration declaration = DeclarationLoader.load(source, text);
-    final Row row;
-    final ConfigHead current;
-    try {
-      row = store.read(ConfigHead.ROW_KEY).join();
-      current = head(row);
-    } catch (CompletionException e) {
-      return new SubmitResult.Unavailable(e.getCause().getMessage());
-    }
-    final long base = baseOption == null ? declaration.base().orElse(current.number()) : baseOption;
-    if (base != current.number()) {
-      return new SubmitResult.Conflict(
-          "the text was edited from configuration "
-              + base
-              + ", but configuration "
-              + current.number()
-              + " is in force");
+  SubmitResult run() throws InterruptedException {
+    SubmitAction action = machine.start();
+    while (!(action instanceof SubmitAction.Finish)) {
+      if (action instanceof SubmitAction.WaitThen wait) {
+        Thread.sleep(wait.delayMs());
+        action = wait.next();
+      } else {
+        action = machine.on(carryOut(action));
+      }
     }
-    return commit(row, next(current, text), text);
-  }
-
-  private static ConfigHead next(final ConfigHead current, final String text) {
-    return new ConfigHead(
-        current.number() + 1, ConfigMachine.digest(text), UUID.randomUUID().toString());
+    return ((SubmitAction.Finish) action).result();
   }
 
-  private SubmitResult commit(final Row row, final ConfigHead next, final String text) {
+  private SubmitEvent carryOut(final SubmitAction action) {
     try {
-      store.putObject(next.objectKey(), text).join();
+      return switch (action) {
+        case SubmitAction.ReadHead read -> {
+          final Row row = store.read(ConfigHead.ROW_KEY).join();
+          yield new SubmitEvent.HeadRead(head(row), row.version());
+        }
+        case SubmitAction.StoreText storing -> {
+          store.putObject(storing.head().objectKey(), text).join();
+          yield new SubmitEvent.TextStored();
+        }
+        case SubmitAction.Commit commit -> commit(commit);
+        default -> throw new IllegalStateException("not an action to carry out: " + action);
+      };
     } catch (CompletionException e) {
-      return new SubmitResult.Unavailable(e.getCause().getMessage());
-    }
-    try {
-      return settle(store.commit(Transaction.replace(row, json(next))).join(), next);
-    } catch (CompletionException e) {
-      final PlatformException failure = (PlatformException) e.getCause();
-      if (!failure.effectPossible()) {
-        return new SubmitResult.Unavailable(failure.getMessage());
-      }
-      return readBack(row, next);
+      final boolean effectPossible =
+          e.getCause() instanceof PlatformException failure && failure.effectPossible();
+      return new SubmitEvent.Failed(effectPossible, e.getCause().getMessage());
     }
   }
 
-  private SubmitResult settle(final CommitResult result, final ConfigHead next) {
-    return switch (result) {
-      case CommitResult.Committed committed ->
-          new SubmitResult.Accepted(new ConfigNumber(next.number()));
-      case CommitResult.Conflict conflict -> compare(head(conflict.current()), next);
+  private SubmitEvent commit(final SubmitAction.Commit commit) {
+    final String json = json(commit.head());
+    final String numberKey = ConfigHead.numberKey(commit.head().number());
+    final Transaction transaction =
+        new Transaction(
+            List.of(
+                new Condition(ConfigHead.ROW_KEY, commit.headVersion()),
+                new Condition(numberKey, 0)),
+            List.of(new Write(ConfigHead.ROW_KEY, json), new Write(numberKey, json)));
+    return switch (store.commit(transaction).join()) {
+      case CommitResult.Committed committed -> new SubmitEvent.Committed();
+      case CommitResult.Conflict conflict -> {
+        final Row own = store.read(numberKey).join();
+        yield new SubmitEvent.Conflicted(own.exists() ? head(own) : null);
+      }
     };
   }
 
-  private static SubmitResult compare(final ConfigHead current, final ConfigHead next) {
-    if (current.nonce().equals(next.nonce())) {
-      return new SubmitResult.Accepted(new ConfigNumber(next.number()));
-    }
-    return new SubmitResult.Conflict(
-        "another text was accepted first as configuration " + current.number());
+  /**
+   * Describes what has changed between two configurations.
+   *
+   * @param before the earlier number
+   * @param after the later number
+   * @return a line for each change
+   */
+  List<String> changes(final long before, final long after) {
+    return ConfigDifference.describe(textOf(before), textOf(after));
   }
 
-  /** Commits again after a lost answer; the nonce tells whether the first commit took effect. */
-  private SubmitResult readBack(final Row row, final ConfigHead next) {
-    for (int attempt = 0; attempt < READ_BACK_ATTEMPTS; attempt++) {
-      try {
-        Thread.sleep(READ_BACK_INTERVAL_MS);
-        return settle(store.commit(Transaction.replace(row, json(next))).join(), next);
-      } catch (CompletionException e) {
-        // The platform still does not answer; try again.
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        break;
-      }
+  private String textOf(final long number) {
+    if (number == 0) {
+      return "";
     }
-    return new SubmitResult.Unknown("the platform's answer was lost");
+    final Row row = store.read(ConfigHead.numberKey(number)).join();
+    return store.object(head(row).objectKey()).join().orElse("");
   }
 
   private ConfigHead head(final Row row) {
@@ -125,7 +134,7 @@
     try {
       return mapper.readValue(row.value(), ConfigHead.class);
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("the head row is malformed", e);
+      throw new IllegalStateException("the row " + row.key() + " is malformed", e);
     }
   }
 
--- a/src/main/java/org/bulrushweir/configuration/SubmitResult.java
+++ b/src/main/java/org/bulrushweir/configuration/SubmitResult.java
@@ -15,9 +15,17 @@
   /**
    * Another text was accepted first.
    *
-   * @param message what has changed since
+   * @param base the number that the text was edited from
+   * @param current the least number that was accepted since
    */
-  record Conflict(String message) implements SubmitResult {}
+  record Conflict(long base, long current) implements SubmitResult {}
+
+  /**
+   * The text does not say what it was edited from, so it might undo what others have changed.
+   *
+   * @param current the number that was accepted last
+   */
+  record BaseMissing(long current) implements SubmitResult {}
 
   /**
    * The platform does not answer; the text was not accepted.
--- a/src/main/java/org/bulrushweir/router/ChatStream.java
+++ b/src/main/java/org/bulrushweir/router/ChatStream.java
@@ -55,7 +55,7 @@
     final long incarnation =
         links
             .link(emit.endpoint())
-            .incarnationOf(new org.bulrushweir.admission.AttemptKey(spec.id(), emit.attempt()));
+            .incarnationOf(new org.bulrushweir.api.AttemptKey(spec.id(), emit.attempt()));
     final StreamPosition position =
         new StreamPosition(
             emit.endpoint(), incarnation, spec.id(), emit.attempt(), emit.sequence());
--- a/src/main/java/org/bulrushweir/router/EndpointLink.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLink.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.Identifiers;
--- a/src/main/java/org/bulrushweir/router/RequestRunner.java
+++ b/src/main/java/org/bulrushweir/router/RequestRunner.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.delivery.RefusalKind;
--- a/src/main/java/org/bulrushweir/sidecar/ChannelSubscriber.java
+++ b/src/main/java/org/bulrushweir/sidecar/ChannelSubscriber.java
@@ -2,7 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.function.Supplier;
-import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.delivery.AnswerPart;
 import org.bulrushweir.delivery.AnswerSubscriber;
 import org.bulrushweir.delivery.AnswerSummary;
--- a/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
@@ -107,7 +107,7 @@
   private void executeChat(final SidecarRun run, final RunListener listener) {
     final EngineProtocol.ChatRequest request;
     try {
-      request = ChatRequests.forEngine(run.dispatch(), run.item().workClass().priority());
+      request = ChatRequests.forEngine(run.dispatch(), run.offer().workClass().priority());
     } catch (IllegalArgumentException e) {
       listener.notRun(run, RefusalKind.BAD_REQUEST, e.getMessage());
       return;
@@ -192,7 +192,7 @@
             self.incarnation().value(),
             ClaimState.CLAIMED,
             null);
-    final ClaimMachine machine = new ClaimMachine(row, run.item().startByMs());
+    final ClaimMachine machine = new ClaimMachine(row, run.offer().startByMs());
     final ClaimStore store = new ClaimStore(platform, claimKey(dispatch));
     return new ClaimedCall(
         machine, store, clock, () -> callService(run), new ClaimListener(run, listener));
--- a/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
@@ -1,15 +1,11 @@
 package org.bulrushweir.sidecar;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import org.bulrushweir.admission.AdmissionDecision;
-import org.bulrushweir.admission.AttemptKey;
 import org.bulrushweir.admission.EndpointGate;
 import org.bulrushweir.admission.Offer;
-import org.bulrushweir.admission.WorkItem;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.Identifiers;
@@ -18,17 +14,12 @@
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.configuration.AcceptedConfig;
 import org.bulrushweir.declaration.ServiceDeclaration;
-import org.bulrushweir.delivery.AttemptEnd;
 import org.bulrushweir.delivery.RefusalKind;
-import org.bulrushweir.membership.AgedReport;
-import org.bulrushweir.membership.EndpointReport;
 import org.bulrushweir.node.FleetService;
-import org.bulrushweir.node.ReportMessages;
 import org.bulrushweir.timeline.EventKind;
 import org.bulrushweir.timeline.EventLog;
 import org.bulrushweir.timeline.EventSubject;
 import org.bulrushweir.wire.PeerChannel;
-import org.bulrushweir.wire.PeerIdentity;
 import org.bulrushweir.wire.PeerListener;
 import org.bulrushweir.wire.generated.CacheTransfer;
 import org.bulrushweir.wire.generated.Cancel;
@@ -36,31 +27,22 @@
 import org.bulrushweir.wire.generated.Dispatch;
 import org.bulrushweir.wire.generated.DrainResult;
 import org.bulrushweir.wire.generated.Envelope;
-import org.bulrushweir.wire.generated.Refusal;
-import org.bulrushweir.wire.generated.Report;
 import org.bulrushweir.wire.generated.Resume;
-import org.bulrushweir.wire.generated.ResumeState;
 
-/** Accepts, queues, runs, resumes and cancels the attempts that routers send to one endpoint. */
+/** Takes the messages that concern one endpoint and puts configurations in force for it. */
 public final class SidecarCore implements PeerListener, AutoCloseable {
 
-  /** How long settled attempts are remembered, in milliseconds. */
-  private static final long RETENTION_MS = 60_000;
-
   /** How long an attempt waits for the configuration that it came under, in milliseconds. */
   private static final long CONFIG_WAIT_MS = 500;
 
-  /** How long an attempt goes on after its connection was lost, in milliseconds. */
-  private static final long ORPHAN_GRACE_MS = 10_000;
-
-  /** The attempts by key, settled ones included. */
-  private final Map<AttemptKey, SidecarRun> runs = new HashMap<>();
-
   /** The attempts that wait for a configuration. */
   private final List<DeferredDispatch> deferred = new ArrayList<>();
 
-  /** Who this process is. */
-  private final PeerIdentity self;
+  /** Tells which connection of a router counts. */
+  private final NewestConnections connections = new NewestConnections();
+
+  /** The endpoint. */
+  private final EndpointId endpoint;
 
   /** The service that the endpoint belongs to. */
   private final ServiceName serviceName;
@@ -68,10 +50,13 @@
   /** The clock. */
   private final Clock clock;
 
-  /** Decides what is accepted and what runs next. */
+  /** Decides what is accepted and what runs next; guarded by the manager. */
   private final EndpointGate gate;
 
-  /** Runs attempts at the endpoint. */
+  /** Runs the attempts. */
+  private final AttemptManager attempts;
+
+  /** Brings caches to the engine. */
   private final RunExecutor executor;
 
   /** What this process knows of the fleet. */
@@ -92,26 +77,29 @@
   /**
    * Creates the core of a sidecar.
    *
-   * @param self who this process is
+   * @param endpoint the endpoint
    * @param serviceName the service that the endpoint belongs to
    * @param clock the clock
    * @param gate decides what is accepted and what runs next
-   * @param executor runs attempts at the endpoint
+   * @param attempts runs the attempts
+   * @param executor brings caches to the engine
    * @param fleet what this process knows of the fleet
    * @param events the events of this process
    */
   SidecarCore(
-      final PeerIdentity self,
+      final EndpointId endpoint,
       final ServiceName serviceName,
       final Clock clock,
       final EndpointGate gate,
+      final AttemptManager attempts,
       final RunExecutor executor,
       final FleetService fleet,
       final EventLog events) {
-    this.self = self;
+    this.endpoint = endpoint;
     this.serviceName = serviceName;
     this.clock = clock;
     this.gate = gate;
+    this.attempts = attempts;
     this.executor = executor;
     this.fleet = fleet;
     this.events = events;
@@ -126,12 +114,14 @@
     config = newConfig;
     final ServiceDeclaration service = newConfig.declaration().services().get(serviceName);
     if (service != null) {
-      drainDeclared = service.drained().contains(new EndpointId(self.node().value()));
+      drainDeclared = service.drained().contains(endpoint);
       updateLeaving();
-      gate.reconfigure(AdmissionSettingsReader.read(newConfig.declaration(), service));
+      synchronized (attempts) {
+        gate.reconfigure(AdmissionSettingsReader.read(newConfig.declaration(), service));
+      }
     }
     dispatchDeferred();
-    pump();
+    attempts.pump();
   }
 
   /** Refuses all new work until an operator's text or the process's end says otherwise. */
@@ -142,14 +132,17 @@
 
   private void updateLeaving() {
     final boolean leaving = drainRequested || drainDeclared;
-    if (leaving != gate.isLeaving()) {
+    if (leaving == isLeaving()) {
+      return;
+    }
+    synchronized (attempts) {
       gate.leaving(leaving);
-      events.add(
-          leaving ? EventKind.ENDPOINT_LEAVING : EventKind.ENDPOINT_RETURNED,
-          EventSubject.of(new EndpointId(self.node().value())),
-          gate.inFlight() + " attempts in flight");
-      report();
     }
+    events.add(
+        leaving ? EventKind.ENDPOINT_LEAVING : EventKind.ENDPOINT_RETURNED,
+        EventSubject.of(endpoint),
+        inFlight() + " attempts in flight");
+    attempts.report();
   }
 
   /**
@@ -157,8 +150,10 @@
    *
    * @return true if it is leaving
    */
-  public synchronized boolean isLeaving() {
-    return gate.isLeaving();
+  public boolean isLeaving() {
+    synchronized (attempts) {
+      return gate.isLeaving();
+    }
   }
 
   /**
@@ -166,11 +161,13 @@
    *
    * @return the chats, the one used last first
    */
-  synchronized List<CacheHandover.RememberedChat> chatsHere() {
+  List<CacheHandover.RememberedChat> chatsHere() {
     final List<CacheHandover.RememberedChat> chats = new ArrayList<>();
-    for (final Long chat : gate.chatsHere()) {
-      gate.location(chat)
-          .ifPresent(location -> chats.add(new CacheHandover.RememberedChat(chat, location)));
+    synchronized (attempts) {
+      for (final Long chat : gate.chatsHere()) {
+        gate.location(chat)
+            .ifPresent(location -> chats.add(new CacheHandover.RememberedChat(chat, location)));
+      }
     }
     return chats;
   }
@@ -180,8 +177,10 @@
    *
    * @return the number of attempts
    */
-  public synchronized int inFlight() {
-    return gate.inFlight();
+  public int inFlight() {
+    synchronized (attempts) {
+      return gate.inFlight();
+    }
   }
 
   /**
@@ -189,17 +188,16 @@
    *
    * @return the load in work units
    */
-  public synchronized long load() {
-    return gate.load();
+  public long load() {
+    synchronized (attempts) {
+      return gate.load();
+    }
   }
 
   @Override
   public void received(final PeerChannel channel, final Envelope envelope) {
     switch (envelope.getBodyCase()) {
-      case DISPATCH ->
-          dispatchWhenReady(channel, envelope.getConfigNumber(), envelope.getDispatch());
-      case CANCEL -> cancel(channel, envelope.getCancel());
-      case RESUME -> resume(channel, envelope.getResume());
+      case DISPATCH, CANCEL, RESUME -> concernsAttempt(channel, envelope);
       case CHAT_MOVED -> moved(envelope.getChatMoved());
       case CACHE_TRANSFER -> cacheTransferred(envelope.getCacheTransfer());
       case DRAIN_REQUEST -> drain(channel);
@@ -209,15 +207,22 @@
     }
   }
 
+  private synchronized void concernsAttempt(final PeerChannel channel, final Envelope envelope) {
+    if (!connections.accept(channel)) {
+      return;
+    }
+    switch (envelope.getBodyCase()) {
+      case DISPATCH ->
+          dispatchWhenReady(channel, envelope.getConfigNumber(), envelope.getDispatch());
+      case CANCEL -> cancel(channel, envelope.getCancel());
+      default -> resume(channel, envelope.getResume());
+    }
+  }
+
   @Override
   public synchronized void closed(final PeerChannel channel) {
-    final long cancelAtMs = clock.nowMs() + ORPHAN_GRACE_MS;
-    for (final SidecarRun run : runs.values()) {
-      if (run.channel() == channel && !run.isSettled()) {
-        run.buffer().unsubscribe();
-        run.cancelAt(cancelAtMs);
-      }
-    }
+    connections.closed(channel);
+    attempts.connectionLost(channel);
   }
 
   private void drain(final PeerChannel channel) {
@@ -226,8 +231,11 @@
         Envelope.newBuilder().setDrainResult(DrainResult.newBuilder().setInFlight(inFlight())));
   }
 
-  private synchronized void moved(final ChatMoved message) {
-    if (message.getChat() != 0 && Identifiers.isValid(message.getEndpoint())) {
+  private void moved(final ChatMoved message) {
+    if (message.getChat() == 0 || !Identifiers.isValid(message.getEndpoint())) {
+      return;
+    }
+    synchronized (attempts) {
       gate.moved(message.getChat(), new EndpointId(message.getEndpoint()), clock.nowMs());
     }
   }
@@ -236,21 +244,26 @@
     executor.importCache(
         transfer,
         () -> {
-          synchronized (this) {
+          synchronized (attempts) {
             gate.imported(transfer.getChat(), transfer.getTokens(), clock.nowMs());
           }
         });
   }
 
   /** Lets an attempt wait for the configuration under which its router has sent it. */
-  private synchronized void dispatchWhenReady(
+  private void dispatchWhenReady(
       final PeerChannel channel, final long configNumber, final Dispatch dispatch) {
-    if (config != null && config.number().value() >= configNumber) {
+    final DeferredDispatch waiting =
+        new DeferredDispatch(channel, configNumber, dispatch, clock.nowMs() + CONFIG_WAIT_MS);
+    if (isReady(waiting)) {
       dispatch(channel, dispatch);
       return;
     }
-    deferred.add(
-        new DeferredDispatch(channel, configNumber, dispatch, clock.nowMs() + CONFIG_WAIT_MS));
+    deferred.add(waiting);
+  }
+
+  private boolean isReady(final DeferredDispatch waiting) {
+    return config != null && config.number().value() >= waiting.configNumber();
   }
 
   /** Dispatches what has waited for the configuration, or refuses what has waited too long. */
@@ -259,15 +272,15 @@
     final List<DeferredDispatch> waiting = new ArrayList<>(deferred);
     deferred.clear();
     for (final DeferredDispatch each : waiting) {
-      if (config != null && config.number().value() >= each.configNumber()) {
+      if (isReady(each)) {
         dispatch(each.channel(), each.dispatch());
       } else if (nowMs < each.refuseAtMs()) {
         deferred.add(each);
       } else {
-        refuse(
+        attempts.refuse(
             each.channel(),
             key(each.dispatch()),
-            new AdmissionDecision.Refused(RefusalKind.NOT_READY, 0, null),
+            RefusalKind.NOT_READY,
             "the endpoint does not have configuration " + each.configNumber() + " yet");
       }
     }
@@ -278,31 +291,13 @@
   }
 
   private void dispatch(final PeerChannel channel, final Dispatch dispatch) {
-    final AttemptKey key = key(dispatch);
     dispatch.getReportsList().forEach(fleet::learn);
-    final SidecarRun known = runs.get(key);
-    if (known != null) {
-      attach(known, channel, 0);
-      return;
-    }
-    if (dispatch.getIncarnation() != 0 && dispatch.getIncarnation() != self.incarnation().value()) {
-      refuse(
-          channel,
-          key,
-          new AdmissionDecision.Refused(RefusalKind.WRONG_INCARNATION, 0, null),
-          "the sidecar was restarted");
-      return;
-    }
     final Optional<String> fault = fault(dispatch);
     if (fault.isPresent()) {
-      refuse(
-          channel,
-          key,
-          new AdmissionDecision.Refused(RefusalKind.BAD_REQUEST, 0, null),
-          fault.get());
+      attempts.refuse(channel, key(dispatch), RefusalKind.BAD_REQUEST, fault.get());
       return;
     }
-    admit(channel, key, dispatch);
+    attempts.dispatch(channel, key(dispatch), dispatch, offer(dispatch));
   }
 
   private Optional<String> fault(final Dispatch dispatch) {
@@ -321,29 +316,12 @@
     return Optional.empty();
   }
 
-  private void admit(final PeerChannel channel, final AttemptKey key, final Dispatch dispatch) {
-    final Offer offer = offer(key, dispatch);
-    report();
-    switch (gate.offer(offer, fleet.statistics(serviceName))) {
-      case AdmissionDecision.Refused refused ->
-          refuse(channel, key, refused, "the endpoint does not take the request now");
-      case AdmissionDecision.Admitted admitted -> {
-        final SidecarRun run = new SidecarRun(dispatch, key, offer, channel);
-        runs.put(key, run);
-        record(EventKind.ATTEMPT_ADMITTED, key, "");
-        channel.send(SidecarMessages.accepted(key, self.incarnation().value(), report()));
-        run.buffer().subscribe(new ChannelSubscriber(key, channel, this::report), 0);
-        pump();
-      }
-    }
-  }
-
-  private Offer offer(final AttemptKey key, final Dispatch dispatch) {
+  private Offer offer(final Dispatch dispatch) {
     final long nowMs = clock.nowMs();
     final long startWithinMs =
         dispatch.getFirstTokenMs() == 0 ? dispatch.getDeadlineMs() : dispatch.getFirstTokenMs();
     return new Offer(
-        key,
+        key(dispatch),
         new OrganisationId(dispatch.getOrganisation()),
         config.declaration().classes().get(dispatch.getWorkClass()),
         dispatch.getChat(),
@@ -354,157 +332,29 @@
         nowMs + startWithinMs);
   }
 
-  private void record(final EventKind kind, final AttemptKey key, final String detail) {
-    events.add(
-        kind,
-        EventSubject.of(key.request(), key.attempt(), new EndpointId(self.node().value())),
-        detail);
-  }
-
-  /** Makes a report and keeps it where peers and this sidecar's own decisions find it. */
-  private synchronized Report report() {
-    final EndpointReport report = gate.report(clock.nowMs());
-    final AgedReport aged = new AgedReport(report, 0);
-    fleet.learn(aged);
-    return ReportMessages.toWire(aged);
-  }
-
-  private void refuse(
-      final PeerChannel channel,
-      final AttemptKey key,
-      final AdmissionDecision.Refused refused,
-      final String detail) {
-    final Refusal refusal =
-        SidecarMessages.refusal(
-            key, refused.kind(), refused.retryAfterMs(), refused.movedTo(), detail, report());
-    bury(key, refusal);
-    record(EventKind.ATTEMPT_REFUSED, key, refused.kind().name());
-    channel.send(Envelope.newBuilder().setRefusal(refusal));
-  }
-
-  /** Makes sure that an attempt will not run even if its dispatch comes later. */
-  private void bury(final AttemptKey key, final Refusal refusal) {
-    final SidecarRun tombstone = new SidecarRun(null, key, null, null);
-    tombstone.refuse(refusal, clock.nowMs());
-    runs.put(key, tombstone);
-  }
-
-  private Refusal cancelled(final AttemptKey key, final String detail) {
-    return SidecarMessages.refusal(key, RefusalKind.CANCELLED, 0, null, detail, report());
-  }
-
-  private synchronized void cancel(final PeerChannel channel, final Cancel cancel) {
+  private void cancel(final PeerChannel channel, final Cancel cancel) {
     final AttemptKey key = new AttemptKey(new RequestId(cancel.getRequest()), cancel.getAttempt());
     deferred.removeIf(each -> key(each.dispatch()).equals(key));
-    SidecarRun run = runs.get(key);
-    if (run == null) {
-      bury(key, cancelled(key, "cancelled before it came"));
-      run = runs.get(key);
-    }
-    if (run.state() == RunState.QUEUED && cancel.getGraceMs() == 0) {
-      gate.cancelQueued(key);
-      run.refuse(cancelled(key, "cancelled before it started"), clock.nowMs());
-    }
-    if (!run.isSettled()) {
-      run.cancelAt(clock.nowMs() + cancel.getGraceMs());
-    }
-    channel.send(
-        SidecarMessages.cancelResult(
-            key, self.incarnation().value(), run.state() == RunState.REFUSED));
+    attempts.cancel(channel, key, cancel.getGraceMs());
   }
 
-  private synchronized void resume(final PeerChannel channel, final Resume resume) {
+  private void resume(final PeerChannel channel, final Resume resume) {
     final AttemptKey key = new AttemptKey(new RequestId(resume.getRequest()), resume.getAttempt());
-    final SidecarRun run = runs.get(key);
-    if (run == null) {
-      resumeUnseen(channel, key, resume.getIncarnation());
-      return;
-    }
-    final boolean foreign =
-        run.dispatch() != null
-            && !run.dispatch().getOrganisation().equals(resume.getOrganisation());
-    if (foreign) {
-      answerResume(channel, key, ResumeState.LOST);
-      return;
-    }
-    answerResume(channel, key, ResumeState.RESUMED);
-    attach(run, channel, resume.getNextSequence());
-  }
-
-  private void resumeUnseen(
-      final PeerChannel channel, final AttemptKey key, final long incarnation) {
-    if (incarnation != self.incarnation().value()) {
-      answerResume(channel, key, ResumeState.LOST);
-      return;
-    }
     deferred.removeIf(each -> key(each.dispatch()).equals(key));
-    bury(key, cancelled(key, "resumed before it came"));
-    answerResume(channel, key, ResumeState.NEVER_SEEN);
-  }
-
-  private void answerResume(
-      final PeerChannel channel, final AttemptKey key, final ResumeState state) {
-    channel.send(SidecarMessages.resumeResult(key, self.incarnation().value(), state));
-  }
-
-  private void attach(final SidecarRun run, final PeerChannel channel, final int nextSequence) {
-    if (run.state() == RunState.REFUSED) {
-      channel.send(Envelope.newBuilder().setRefusal(run.refusal()));
-      return;
-    }
-    run.channel(channel);
-    run.buffer().subscribe(new ChannelSubscriber(run.key(), channel, this::report), nextSequence);
-  }
-
-  /** Starts queued attempts while slots are free. */
-  private void pump() {
-    Optional<WorkItem> next = gate.startNext(clock.nowMs());
-    while (next.isPresent()) {
-      final SidecarRun run = runs.get(next.get().key());
-      run.start();
-      record(EventKind.ATTEMPT_STARTED, run.key(), "");
-      executor.execute(run, new CoreRunListener());
-      next = gate.startNext(clock.nowMs());
-    }
+    attempts.resume(
+        channel, key, resume.getIncarnation(), resume.getOrganisation(), resume.getNextSequence());
   }
 
-  /** Does what is due: reports, refuses what waited too long, stops what nobody follows. */
+  /** Does what is due. */
   public synchronized void tick() {
-    final long nowMs = clock.nowMs();
-    report();
+    attempts.report();
     dispatchDeferred();
-    for (final WorkItem item : gate.expire(nowMs)) {
-      refuseAccepted(runs.get(item.key()), RefusalKind.DEADLINE_UNREACHABLE, "it waited too long");
-    }
-    for (final SidecarRun run : List.copyOf(runs.values())) {
-      if (run.isSettled() && nowMs - run.settledAtMs() > RETENTION_MS) {
-        runs.remove(run.key());
-      } else if (!run.isSettled() && nowMs >= run.cancelAtMs()) {
-        stop(run);
-      }
-    }
-    pump();
-  }
-
-  /** Stops an attempt that nobody follows; one that must not repeat runs on once started. */
-  private void stop(final SidecarRun run) {
-    if (gate.cancelQueued(run.key())) {
-      run.refuse(cancelled(run.key(), "nobody follows it"), clock.nowMs());
-    } else if (run.dispatch().getRepeatable()) {
-      run.abort();
-    }
-  }
-
-  private void refuseAccepted(final SidecarRun run, final RefusalKind kind, final String detail) {
-    final Refusal refusal = SidecarMessages.refusal(run.key(), kind, 0, null, detail, report());
-    run.refuse(refusal, clock.nowMs());
-    record(EventKind.ATTEMPT_REFUSED, run.key(), kind.name());
-    run.channel().send(Envelope.newBuilder().setRefusal(refusal));
+    attempts.tick();
   }
 
   @Override
   public void close() {
-    executor.close();
+    attempts.close();
   }
 
   /**
@@ -517,41 +367,4 @@
    */
   private record DeferredDispatch(
       PeerChannel channel, long configNumber, Dispatch dispatch, long refuseAtMs) {}
-
-  /** Takes note of how runs go. */
-  private final class CoreRunListener implements RunListener {
-
-    @Override
-    public void token(final double intervalMs) {
-      synchronized (SidecarCore.this) {
-        gate.token(intervalMs, clock.nowMs());
-      }
-    }
-
-    @Override
-    public void ended(final SidecarRun run, final AttemptEnd end) {
-      synchronized (SidecarCore.this) {
-        run.end(clock.nowMs());
-        gate.finish(run.key(), cachedTokens(end), clock.nowMs());
-        record(EventKind.ATTEMPT_ENDED, run.key(), end.getClass().getSimpleName());
-        pump();
-      }
-      run.buffer().end(end);
-    }
-
-    private int cachedTokens(final AttemptEnd end) {
-      return end instanceof AttemptEnd.Ran ran
-          ? ran.summary().promptTokens() + ran.summary().outputTokens()
-          : 0;
-    }
-
-    @Override
-    public void notRun(final SidecarRun run, final RefusalKind kind, final String detail) {
-      synchronized (SidecarCore.this) {
-        gate.finish(run.key(), 0, clock.nowMs());
-        refuseAccepted(run, kind, detail);
-        pump();
-      }
-    }
-  }
 }
--- a/src/main/java/org/bulrushweir/sidecar/SidecarMessages.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarMessages.java
@@ -1,6 +1,6 @@
 package org.bulrushweir.sidecar;
 
-import org.bulrushweir.admission.AttemptKey;
+import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.delivery.RefusalKind;
 import org.bulrushweir.wire.generated.Accepted;
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -96,19 +96,35 @@
       final PeerService peers,
       final ConfigService configuration) {
     final long nowMs = clock.nowMs();
+    final EndpointId endpoint = new EndpointId(self.node().value());
     final EndpointGate gate =
         new EndpointGate(
-            new EndpointId(self.node().value()),
+            endpoint,
             self.incarnation(),
             UNCONFIGURED,
             new ChatMemory(REMEMBERED_CHATS, nowMs),
             nowMs);
     final RunExecutor executor = new RunExecutor(self, settings.service(), clock, engine, platform);
     final SidecarCore core =
-        new SidecarCore(self, settings.service(), clock, gate, executor, fleet, events);
+        new SidecarCore(
+            endpoint,
+            settings.service(),
+            clock,
+            gate,
+            new AttemptManager(
+                endpoint,
+                self.incarnation(),
+                settings.service(),
+                clock,
+                gate,
+                executor,
+                fleet,
+                events),
+            executor,
+            fleet,
+            events);
     final CacheHandover handover =
-        new CacheHandover(
-            new EndpointId(self.node().value()), settings.service(), clock, engine, fleet, peers);
+        new CacheHandover(endpoint, settings.service(), clock, engine, fleet, peers);
     return new SidecarService(core, handover, gossip, peers, configuration);
   }
 
--- a/src/main/java/org/bulrushweir/wire/PeerChannel.java
+++ b/src/main/java/org/bulrushweir/wire/PeerChannel.java
@@ -8,6 +8,7 @@
 
   private final Channel channel;
   private final PeerIdentity remote;
+  private final long number;
   private final EnvelopeStamp stamp;
 
   /**
@@ -15,11 +16,17 @@
    *
    * @param channel the connection
    * @param remote who is at the other end
+   * @param number counts the connections of this process
    * @param stamp puts on every message what rides on all
    */
-  PeerChannel(final Channel channel, final PeerIdentity remote, final EnvelopeStamp stamp) {
+  PeerChannel(
+      final Channel channel,
+      final PeerIdentity remote,
+      final long number,
+      final EnvelopeStamp stamp) {
     this.channel = channel;
     this.remote = remote;
+    this.number = number;
     this.stamp = stamp;
   }
 
@@ -41,6 +48,15 @@
     return remote;
   }
 
+  /**
+   * Returns the connection's number.
+   *
+   * @return greater than those of all connections that were opened before in this process
+   */
+  public long number() {
+    return number;
+  }
+
   /**
    * Tells whether the connection is open.
    *
--- a/src/main/java/org/bulrushweir/wire/PeerHandler.java
+++ b/src/main/java/org/bulrushweir/wire/PeerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushweir.api.Identifiers;
 import org.bulrushweir.api.Incarnation;
 import org.bulrushweir.api.NodeId;
@@ -17,11 +18,15 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Numbers the connections of this process in the order in which they are opened. */
+  private static final AtomicLong COUNTER = new AtomicLong();
+
   private final PeerIdentity self;
   private final EnvelopeStamp stamp;
   private final PeerListener listener;
   private final CompletableFuture<PeerChannel> opened;
   private PeerChannel peer;
+  private long number;
 
   /**
    * Creates a handler for one connection.
@@ -44,6 +49,7 @@
 
   @Override
   public void channelActive(final ChannelHandlerContext context) {
+    number = COUNTER.incrementAndGet();
     final Hello hello =
         Hello.newBuilder()
             .setNode(self.node().value())
@@ -81,7 +87,7 @@
             new NodeId(hello.getNode()),
             new Incarnation(hello.getIncarnation()),
             new ZoneName(hello.getZone()));
-    peer = new PeerChannel(context.channel(), remote, stamp);
+    peer = new PeerChannel(context.channel(), remote, number, stamp);
     opened.complete(peer);
     listener.received(peer, envelope);
   }
