A cancel names the life of the sidecar that it means

Ruled out: hedging, lost refusals. A cancel now carries the incarnation, and another life answers that it can't tell; a refusal for the wrong incarnation is no proof either.

--- a/src/main/java/org/bulrushweir/delivery/AttemptLedger.java
+++ b/src/main/java/org/bulrushweir/delivery/AttemptLedger.java
@@ -72,11 +72,16 @@
    * Makes sure that an attempt will not run, if it has not come yet.
    *
    * @param key the attempt
+   * @param sentTo the life of the sidecar that it was sent to
    * @param nowMs the current time
-   * @return true if it was not run and never will be
+   * @return true if it was not run and never will be; false too if another life may have run it
    */
-  public boolean preventIfUnseen(final AttemptKey key, final long nowMs) {
-    final Entry entry = entries.computeIfAbsent(key, k -> new Entry(AttemptState.NOT_RUN, nowMs));
+  public boolean preventIfUnseen(final AttemptKey key, final long sentTo, final long nowMs) {
+    if (!entries.containsKey(key) && sentTo != self.value()) {
+      return false;
+    }
+    final Entry entry =
+        entries.computeIfAbsent(key, absent -> new Entry(AttemptState.NOT_RUN, nowMs));
     return entry.state() == AttemptState.NOT_RUN;
   }
 
--- a/src/main/java/org/bulrushweir/delivery/RequestMachine.java
+++ b/src/main/java/org/bulrushweir/delivery/RequestMachine.java
@@ -171,6 +171,10 @@
 
   private void refused(
       final Attempt attempt, final RequestEvent.Refused refused, final long nowMs) {
+    if (refused.kind() == RefusalKind.WRONG_INCARNATION) {
+      giveUp(attempt, "the sidecar was restarted", nowMs);
+      return;
+    }
     attempt.settle();
     lastRefusal = refused.kind();
     lastDetail = refused.detail();
--- a/src/main/java/org/bulrushweir/router/EndpointLink.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLink.java
@@ -187,6 +187,7 @@
    * @param graceMs how long it goes on for a caller that may come back, in milliseconds
    */
   void cancel(final EndpointInfo target, final AttemptKey key, final long graceMs) {
+    final long sentTo = incarnationOf(key);
     connection(target)
         .thenAccept(
             open ->
@@ -196,7 +197,8 @@
                             Cancel.newBuilder()
                                 .setRequest(key.request().value())
                                 .setAttempt(key.attempt())
-                                .setGraceMs((int) graceMs))));
+                                .setGraceMs((int) graceMs)
+                                .setIncarnation(sentTo))));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
+++ b/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
@@ -187,14 +187,16 @@
    *
    * @param channel the connection to the router
    * @param key the attempt
+   * @param sentTo the life of the sidecar that the attempt was sent to
    * @param graceMs how long it goes on for a caller that may come back, in milliseconds
    */
-  synchronized void cancel(final PeerChannel channel, final AttemptKey key, final long graceMs) {
+  synchronized void cancel(
+      final PeerChannel channel, final AttemptKey key, final long sentTo, final long graceMs) {
     final boolean queued = ledger.state(key).filter(AttemptState.QUEUED::equals).isPresent();
     if (queued && graceMs == 0) {
       cancelQueued(key, "cancelled before it started");
     }
-    final boolean notRun = ledger.preventIfUnseen(key, clock.nowMs());
+    final boolean notRun = ledger.preventIfUnseen(key, sentTo, clock.nowMs());
     if (!isSettled(key)) {
       runs.get(key).cancelAt(clock.nowMs() + graceMs);
     }
--- a/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
@@ -335,7 +335,7 @@
   private void cancel(final PeerChannel channel, final Cancel cancel) {
     final AttemptKey key = new AttemptKey(new RequestId(cancel.getRequest()), cancel.getAttempt());
     deferred.removeIf(each -> key(each.dispatch()).equals(key));
-    attempts.cancel(channel, key, cancel.getGraceMs());
+    attempts.cancel(channel, key, cancel.getIncarnation(), cancel.getGraceMs());
   }
 
   private void resume(final PeerChannel channel, final Resume resume) {
--- /dev/null
+++ b/src/test/java/org/bulrushweir/delivery/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how answers reach callers. */
+package org.bulrushweir.delivery;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** A queue of events in virtual time, which tests of decisions run on. */
+package org.bulrushweir.simulation;
