--- /dev/null
+++ b/src/test/java/org/bulrushweir/runonce/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of claims. */
+package org.bulrushweir.runonce;
