Replay of traces through the real decisions, with baselines

Traces are JSON lines, generated from profiles of the two users; the replay drives the real machine, gate, tables and rankings under a virtual clock before a small model of an engine.

The load bound as built refuses small work at engines that carry one large request, and spilled chats lose their caches.

--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -81,6 +81,22 @@
     return load;
   }
 
+  /**
+   * Returns the work of the largest attempt that is queued or running.
+   *
+   * @return the work in work units, zero if there is none
+   */
+  public long largestCost() {
+    long largest = 0;
+    for (final WorkItem item : queued.values()) {
+      largest = Math.max(largest, item.cost());
+    }
+    for (final RunningItem item : running.values()) {
+      largest = Math.max(largest, item.item().cost());
+    }
+    return largest;
+  }
+
   /**
    * Tells whether any attempt is running.
    *
--- a/src/main/java/org/bulrushweir/admission/EndpointGate.java
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -125,6 +125,15 @@
     return admission.load();
   }
 
+  /**
+   * Returns the work of the largest attempt that the endpoint carries.
+   *
+   * @return the work in work units, zero if the endpoint is idle
+   */
+  public long largestCost() {
+    return admission.largestCost();
+  }
+
   /**
    * Offers an attempt.
    *
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -31,6 +31,7 @@
 import org.bulrushweir.platform.VmRole;
 import org.bulrushweir.platform.VmState;
 import org.bulrushweir.routing.EndpointView;
+import org.bulrushweir.routing.EndpointViews;
 import org.bulrushweir.wire.generated.Report;
 
 /**
@@ -181,29 +182,13 @@
     final List<EndpointView> views = new ArrayList<>();
     synchronized (table) {
       for (final EndpointInfo info : known(service).values()) {
-        final long key = EndpointTable.key(info.id());
-        final AgedReport aged = table.report(key, nowMs).orElse(null);
-        if (aged == null) {
-          views.add(new EndpointView(info.id(), key, isSuspect(info, nowMs), 0, Long.MAX_VALUE, 0));
-        } else if (!aged.report().leaving()) {
-          views.add(
-              new EndpointView(
-                  info.id(),
-                  key,
-                  isSuspect(info, nowMs),
-                  aged.report().load(),
-                  aged.ageMs(),
-                  aged.report().paceMicros()));
-        }
+        EndpointViews.of(info, table, contacts.isSuspect(info.id(), nowMs), nowMs)
+            .ifPresent(views::add);
       }
     }
     return views;
   }
 
-  private boolean isSuspect(final EndpointInfo info, final long nowMs) {
-    return contacts.isSuspect(info.id(), nowMs);
-  }
-
   /** Joins what is listed, unless it is leaving, with what was heard of. */
   private Map<EndpointId, EndpointInfo> known(final ServiceName service) {
     final Map<EndpointId, EndpointInfo> known = new HashMap<>();
--- /dev/null
+++ b/src/main/java/org/bulrushweir/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Traces of callers' requests and of what happened to endpoints, as JSON lines. */
+package org.bulrushweir.trace;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/replay/Baselines.java
@@ -0,0 +1,159 @@
+package org.bulrushweir.replay;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.delivery.CandidateSource;
+import org.bulrushweir.routing.EndpointRanking;
+import org.bulrushweir.routing.EndpointView;
+
+/** The ways of choosing endpoints that ours is compared with. */
+final class Baselines {
+
+  private Baselines() {}
+
+  static ReplayPolicy random() {
+    return new Baseline("random", context -> shuffled(context.views().get(), context.random()));
+  }
+
+  /**
+   * Takes endpoints in turn.
+   *
+   * @return the policy
+   */
+  static ReplayPolicy roundRobin() {
+    final AtomicInteger counter = new AtomicInteger();
+    return new Baseline(
+        "round robin",
+        context -> {
+          final List<EndpointId> ids = ids(context.views().get());
+          Collections.sort(ids);
+          Collections.rotate(ids, -(counter.getAndIncrement() % ids.size()));
+          return ids;
+        });
+  }
+
+  /**
+   * Takes the endpoint with the least load in the engines' own lagging reports.
+   *
+   * @return the policy
+   */
+  static ReplayPolicy leastLoaded() {
+    return new Baseline(
+        "least loaded by lagging reports",
+        context -> {
+          final List<EndpointView> views = context.laggingViews().get();
+          views.sort(Comparator.comparingLong(EndpointView::load).thenComparing(EndpointView::id));
+          return ids(views);
+        });
+  }
+
+  /**
+   * Takes the less loaded of two random endpoints, by the lagging reports.
+   *
+   * @return the policy
+   */
+  static ReplayPolicy powerOfTwo() {
+    return new Baseline(
+        "power of two choices",
+        context -> EndpointRanking.forCall(context.laggingViews().get(), context.random()));
+  }
+
+  /**
+   * Takes the endpoint that hashing assigns to the chat.
+   *
+   * @return the policy
+   */
+  static ReplayPolicy consistentHashing() {
+    return new Baseline(
+        "consistent hashing",
+        context ->
+            EndpointRanking.forChat(context.chat(), null, withoutLoads(context.views().get()), 1));
+  }
+
+  /**
+   * Hashes, but passes over endpoints whose reported load exceeds the multiple of the mean; nothing
+   * is enforced at the endpoint.
+   *
+   * @return the policy
+   */
+  static ReplayPolicy boundedLoadHashing() {
+    return new Baseline(
+        "bounded-load hashing without enforcement",
+        context ->
+            EndpointRanking.forChat(
+                context.chat(), null, context.laggingViews().get(), context.loadMultiple()));
+  }
+
+  /**
+   * Lists all baselines.
+   *
+   * @return the policies
+   */
+  static List<ReplayPolicy> all() {
+    return List.of(
+        random(),
+        roundRobin(),
+        leastLoaded(),
+        powerOfTwo(),
+        consistentHashing(),
+        boundedLoadHashing());
+  }
+
+  private static List<EndpointView> withoutLoads(final List<EndpointView> views) {
+    return views.stream()
+        .map(view -> new EndpointView(view.id(), view.key(), view.suspect(), 0, 0, 0))
+        .toList();
+  }
+
+  private static List<EndpointId> ids(final List<EndpointView> views) {
+    return new ArrayList<>(views.stream().map(EndpointView::id).toList());
+  }
+
+  private static List<EndpointId> shuffled(
+      final List<EndpointView> views, final RandomGenerator random) {
+    final List<EndpointId> ids = ids(views);
+    for (int index = ids.size() - 1; index > 0; index--) {
+      Collections.swap(ids, index, random.nextInt(index + 1));
+    }
+    return ids;
+  }
+
+  /**
+   * A policy that orders endpoints when a request comes.
+   *
+   * @param name the policy's name
+   * @param order orders the endpoints
+   */
+  private record Baseline(String name, Function<RouteContext, List<EndpointId>> order)
+      implements ReplayPolicy {
+
+    @Override
+    public CandidateSource candidates(final RouteContext context) {
+      final List<EndpointId> ordered = order.apply(context);
+      return new CandidateSource() {
+        @Override
+        public Optional<EndpointId> next(final Set<EndpointId> tried, final EndpointId movedTo) {
+          return ordered.stream().filter(endpoint -> !tried.contains(endpoint)).findFirst();
+        }
+      };
+    }
+
+    @Override
+    public boolean enforced() {
+      return false;
+    }
+
+    @Override
+    public boolean hedged() {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/replay/package-info.java
@@ -0,0 +1,2 @@
+/** Replays of the two users' traces against stated targets and baselines. */
+package org.bulrushweir.replay;
--- a/src/test/java/org/bulrushweir/simulation/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** A queue of events in virtual time, which tests of decisions run on. */
-package org.bulrushweir.simulation;
