--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -16,10 +16,10 @@
  * Decides which attempts an endpoint accepts and which one runs next. Not safe for use by many
  * threads.
  *
- * <p>An attempt is accepted only while the work that the endpoint carries does not exceed what it
- * may carry, so that it never carries more than that plus one attempt. Among the accepted ones,
- * classes go by priority, waiting attempts gain priority with time, and organisations within a
- * class share by weight.
+ * <p>An attempt is accepted only if the endpoint then carries no more than it may, its largest
+ * attempt left out, so that it never carries more than that plus one attempt. Among the accepted
+ * ones, classes go by priority, waiting attempts gain priority with time, and organisations within
+ * a class share by weight.
  */
 public final class AdmissionController {
 
@@ -82,21 +82,47 @@
   }
 
   /**
-   * Returns the work of the largest attempt that is queued or running.
+   * Returns what is left of the largest attempt that is queued or running.
    *
    * @return the work in work units, zero if there is none
    */
-  public long largestCost() {
+  public long largestWork() {
     long largest = 0;
     for (final WorkItem item : queued.values()) {
       largest = Math.max(largest, item.cost());
     }
     for (final RunningItem item : running.values()) {
-      largest = Math.max(largest, item.item().cost());
+      largest = Math.max(largest, item.remaining());
     }
     return largest;
   }
 
+  /**
+   * Tells whether the endpoint is reading a prompt.
+   *
+   * @return true if a running attempt has not generated a token yet
+   */
+  public boolean isReadingPrompts() {
+    return running.values().stream().anyMatch(item -> !item.hasBegun());
+  }
+
+  /**
+   * Takes note that a running attempt has generated a token.
+   *
+   * @param key the attempt
+   * @param nowMs the current time
+   */
+  public void progress(final AttemptKey key, final long nowMs) {
+    final RunningItem item = running.get(key);
+    if (item == null) {
+      return;
+    }
+    if (!item.hasBegun()) {
+      rate.recordPrompt(item.item().promptCost(), nowMs - item.startedMs());
+    }
+    load -= item.progress();
+  }
+
   /**
    * Tells whether any attempt is running.
    *
@@ -124,20 +150,20 @@
    */
   public AdmissionDecision offer(final WorkItem item, final double allowedLoad) {
     if (leaving) {
-      return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0, null);
+      return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0, null, 0);
     }
-    if (load > allowedLoad) {
-      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item), null);
+    if (load + item.cost() - Math.max(item.cost(), largestWork()) > allowedLoad) {
+      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item), null, 0);
     }
     final long waitMs = estimatedWaitMs(item);
     if (item.arrivedMs() + waitMs > item.startByMs()) {
-      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs, null);
+      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs, null, 0);
     }
     classes.put(item.workClass().name(), item.workClass());
     queues.computeIfAbsent(item.workClass().name(), name -> new FairQueue()).add(item);
     queued.put(item.key(), item);
     load += item.cost();
-    return new AdmissionDecision.Admitted();
+    return new AdmissionDecision.Admitted(waitMs + rate.promptMs(item.promptCost()));
   }
 
   private long estimatedWaitMs(final WorkItem item) {
@@ -146,7 +172,7 @@
     }
     double ahead = 0;
     for (final RunningItem other : running.values()) {
-      ahead += other.item().cost() / 2.0;
+      ahead += other.remaining();
     }
     for (final Map.Entry<String, FairQueue> entry : queues.entrySet()) {
       if (classes.get(entry.getKey()).priority() <= item.workClass().priority()) {
@@ -215,7 +241,7 @@
     }
     final WorkItem item = ended.item();
     rate.record(item.cost(), nowMs - ended.startedMs());
-    load -= item.cost();
+    load -= ended.remaining();
     slotsHeld.merge(item.organisation(), -1, Integer::sum);
     if (!item.workClass().shortWork()) {
       longRunning--;
@@ -250,12 +276,4 @@
     expired.forEach(item -> cancelQueued(item.key()));
     return expired;
   }
-
-  /**
-   * Remembers when an attempt was started.
-   *
-   * @param item the attempt
-   * @param startedMs when it was started, in milliseconds
-   */
-  private record RunningItem(WorkItem item, long startedMs) {}
 }
--- a/src/main/java/org/bulrushweir/admission/AdmissionDecision.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionDecision.java
@@ -6,8 +6,12 @@
 /** Tells whether an attempt is accepted. */
 public sealed interface AdmissionDecision {
 
-  /** The attempt is queued. */
-  record Admitted() implements AdmissionDecision {}
+  /**
+   * The attempt is queued.
+   *
+   * @param firstTokenInMs when the first token is expected, in milliseconds from now
+   */
+  record Admitted(long firstTokenInMs) implements AdmissionDecision {}
 
   /**
    * The attempt is refused.
@@ -15,7 +19,8 @@
    * @param kind why
    * @param retryAfterMs when another try may succeed, in milliseconds
    * @param movedTo where the chat's cache is, null if unknown
+   * @param cachedTokens how many tokens of the chat are in the cache here
    */
-  record Refused(RefusalKind kind, long retryAfterMs, EndpointId movedTo)
+  record Refused(RefusalKind kind, long retryAfterMs, EndpointId movedTo, int cachedTokens)
       implements AdmissionDecision {}
 }
--- a/src/main/java/org/bulrushweir/admission/EndpointGate.java
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -50,6 +50,9 @@
   /** When the sidecar started, in milliseconds. */
   private final long startMs;
 
+  /** When the engine was last seen reading a prompt, in milliseconds. */
+  private long lastPromptMs;
+
   /** The settings. */
   private AdmissionSettings settings;
 
@@ -130,8 +133,8 @@
    *
    * @return the work in work units, zero if the endpoint is idle
    */
-  public long largestCost() {
-    return admission.largestCost();
+  public long largestWork() {
+    return admission.largestWork();
   }
 
   /**
@@ -146,21 +149,32 @@
         offer.chat() == 0 ? Optional.empty() : memory.find(offer.chat());
     final Optional<EndpointId> elsewhere = elsewhere(offer, location);
     if (elsewhere.isPresent() && !admission.isLeaving()) {
-      return new AdmissionDecision.Refused(RefusalKind.MOVED, 0, elsewhere.get());
+      return new AdmissionDecision.Refused(RefusalKind.MOVED, 0, elsewhere.get(), 0);
     }
     final WorkItem item =
         new WorkItem(
             offer.key(),
             offer.organisation(),
             offer.workClass(),
-            cost(offer, location),
+            promptCost(offer, location),
+            outputCost(offer),
             offer.arrivedMs(),
             offer.startByMs());
     final AdmissionDecision decision = admission.offer(item, allowedLoad(pool, offer.arrivedMs()));
-    if (decision instanceof AdmissionDecision.Admitted && offer.chat() != 0) {
-      chats.put(offer.key(), offer.chat());
-    }
-    return decision;
+    return switch (decision) {
+      case AdmissionDecision.Admitted admitted -> {
+        if (offer.chat() != 0) {
+          chats.put(offer.key(), offer.chat());
+        }
+        yield admitted;
+      }
+      case AdmissionDecision.Refused refused ->
+          new AdmissionDecision.Refused(
+              refused.kind(),
+              refused.retryAfterMs(),
+              null,
+              location.filter(this::isHere).map(ChatLocation::tokens).orElse(0));
+    };
   }
 
   /** Finds the other endpoint that a chat has moved to, if it makes sense to send it there. */
@@ -171,14 +185,23 @@
     return location.map(ChatLocation::endpoint).filter(endpoint -> !endpoint.equals(self));
   }
 
-  private long cost(final Offer offer, final Optional<ChatLocation> location) {
-    if (offer.chat() == 0) {
-      return WorkEstimator.SERVICE_CALL_UNITS;
-    }
-    final boolean here = location.isPresent() && location.get().endpoint().equals(self);
+  private boolean isHere(final ChatLocation location) {
+    return location.endpoint().equals(self);
+  }
+
+  private static long outputCost(final Offer offer) {
+    return offer.chat() == 0
+        ? WorkEstimator.SERVICE_CALL_UNITS
+        : WorkEstimator.output(offer.outputTokens());
+  }
+
+  private long promptCost(final Offer offer, final Optional<ChatLocation> location) {
     final int cached =
-        here ? location.get().tokens() : offer.cacheExpected() ? offer.promptTokens() : 0;
-    return WorkEstimator.chat(offer.promptTokens(), cached, offer.outputTokens());
+        location
+            .filter(this::isHere)
+            .map(ChatLocation::tokens)
+            .orElse(offer.cacheExpected() ? offer.promptTokens() : 0);
+    return WorkEstimator.prompt(offer.promptTokens(), cached);
   }
 
   /**
@@ -190,7 +213,7 @@
       return Double.POSITIVE_INFINITY;
     }
     ceiling.updateWeight(
-        pace.paceMicros(admission.isRunning(), nowMs), pool.medianPaceMicros(), nowMs);
+        pace.paceMicros(isGeneratingOnly(), nowMs), pool.medianPaceMicros(), nowMs);
     if (pool.known() > 1 && pool.members() <= 1 && nowMs - startMs < FIRST_REPORTS_MS) {
       return 0;
     }
@@ -208,13 +231,24 @@
   }
 
   /**
-   * Takes note of a token.
+   * Takes note of a token. Tokens that were generated while the engine read prompts say nothing
+   * about its pace, since reading holds generation up.
    *
-   * @param intervalMs how long it took since the one before it in the same answer
+   * @param key the attempt
+   * @param intervalMs how long it took since the one before it in the same answer, zero for the
+   *     first one
    * @param nowMs the current time
    */
-  public void token(final double intervalMs, final long nowMs) {
-    pace.token(intervalMs, nowMs);
+  public void token(final AttemptKey key, final double intervalMs, final long nowMs) {
+    if (admission.isReadingPrompts()) {
+      lastPromptMs = nowMs;
+    }
+    admission.progress(key, nowMs);
+    if (intervalMs > 0 && nowMs - intervalMs > lastPromptMs) {
+      pace.token(intervalMs, nowMs);
+    } else {
+      pace.heard(nowMs);
+    }
   }
 
   /**
@@ -310,6 +344,10 @@
         reports,
         admission.isLeaving(),
         admission.load(),
-        pace.paceMicros(admission.isRunning(), nowMs));
+        pace.paceMicros(isGeneratingOnly(), nowMs));
+  }
+
+  private boolean isGeneratingOnly() {
+    return admission.isRunning() && !admission.isReadingPrompts();
   }
 }
--- a/src/main/java/org/bulrushweir/delivery/RequestAction.java
+++ b/src/main/java/org/bulrushweir/delivery/RequestAction.java
@@ -12,6 +12,7 @@
    * @param endpoint the endpoint
    * @param remainingMs what is left of the request's time, in milliseconds
    * @param firstTokenMs what is left until the first token is due, in milliseconds
+   * @param cacheAt the endpoint that has the chat's cache, null if unknown
    * @param continuation the part of the answer that the caller has already
    * @param continuationTokens the number of its tokens
    */
@@ -20,6 +21,7 @@
       EndpointId endpoint,
       long remainingMs,
       long firstTokenMs,
+      EndpointId cacheAt,
       String continuation,
       int continuationTokens)
       implements RequestAction {}
--- a/src/main/java/org/bulrushweir/delivery/RequestEvent.java
+++ b/src/main/java/org/bulrushweir/delivery/RequestEvent.java
@@ -9,8 +9,10 @@
    * An endpoint has queued or started an attempt.
    *
    * @param attempt the attempt
+   * @param firstTokenInMs when the endpoint expects the first token, in milliseconds from now, zero
+   *     if it does not know
    */
-  record Accepted(int attempt) implements RequestEvent {}
+  record Accepted(int attempt, long firstTokenInMs) implements RequestEvent {}
 
   /**
    * An endpoint has not run an attempt and never will.
@@ -19,10 +21,16 @@
    * @param kind why
    * @param retryAfterMs when the caller may try again, zero if unknown
    * @param movedTo where the chat's cache is, null if unknown
+   * @param cachedTokens how many tokens of the chat the refusing endpoint has in its cache
    * @param detail a message for the caller
    */
   record Refused(
-      int attempt, RefusalKind kind, long retryAfterMs, EndpointId movedTo, String detail)
+      int attempt,
+      RefusalKind kind,
+      long retryAfterMs,
+      EndpointId movedTo,
+      int cachedTokens,
+      String detail)
       implements RequestEvent {}
 
   /**
--- a/src/main/java/org/bulrushweir/delivery/RequestMachine.java
+++ b/src/main/java/org/bulrushweir/delivery/RequestMachine.java
@@ -23,6 +23,9 @@
   private static final long CANCEL_TIMEOUT_MS = 500;
   private static final long MISSING_PART_TIMEOUT_MS = 300;
 
+  /** How many times the expected time to the first token may pass before another is asked. */
+  private static final long HEDGE_FACTOR = 2;
+
   private final Map<Integer, Attempt> attempts = new TreeMap<>();
   private final Set<EndpointId> tried = new HashSet<>();
   private final List<RequestAction> actions = new ArrayList<>();
@@ -42,6 +45,8 @@
   private RefusalKind lastRefusal = RefusalKind.NO_ENDPOINT;
   private long retryAfterMs;
   private EndpointId movedTo;
+  private EndpointId cacheAt;
+  private long hedgeAtMs;
 
   /**
    * Creates the machine of one request.
@@ -60,6 +65,7 @@
     this.candidates = candidates;
     this.retryBudget = retryBudget;
     this.hedgeBudget = hedgeBudget;
+    this.hedgeAtMs = limits.hedgeAtMs();
   }
 
   /**
@@ -125,7 +131,7 @@
   public long nextTickMs() {
     long next = overdue ? Long.MAX_VALUE : limits.deadlineMs();
     if (mayHedge()) {
-      next = Math.min(next, limits.hedgeAtMs());
+      next = Math.min(next, hedgeAtMs);
     }
     for (final Attempt attempt : attempts.values()) {
       next = Math.min(next, Math.min(attempt.giveUpAtMs(), attempt.resumeAtMs()));
@@ -141,7 +147,9 @@
 
   private void handle(final RequestEvent event, final long nowMs) {
     switch (event) {
-      case RequestEvent.Accepted accepted -> live(accepted.attempt()).ifPresent(Attempt::accept);
+      case RequestEvent.Accepted accepted ->
+          live(accepted.attempt())
+              .ifPresent(attempt -> accepted(attempt, accepted.firstTokenInMs(), nowMs));
       case RequestEvent.Refused refused ->
           live(refused.attempt()).ifPresent(attempt -> refused(attempt, refused, nowMs));
       case RequestEvent.PartArrived arrived ->
@@ -161,6 +169,13 @@
     }
   }
 
+  private void accepted(final Attempt attempt, final long firstTokenInMs, final long nowMs) {
+    attempt.accept();
+    if (hedgeAtMs < Long.MAX_VALUE) {
+      hedgeAtMs = Math.max(hedgeAtMs, nowMs + HEDGE_FACTOR * firstTokenInMs);
+    }
+  }
+
   private Optional<Attempt> live(final int number) {
     return Optional.ofNullable(attempts.get(number)).filter(Attempt::isLive);
   }
@@ -182,6 +197,9 @@
     if (refused.movedTo() != null) {
       movedTo = refused.movedTo();
     }
+    if (refused.cachedTokens() > 0) {
+      cacheAt = attempt.endpoint();
+    }
     if (anyLive()) {
       return;
     }
@@ -215,6 +233,7 @@
             endpoint,
             limits.deadlineMs() - nowMs,
             Math.max(1, limits.firstTokenDeadlineMs() - nowMs),
+            cacheAt,
             delivered.toString(),
             deliveredTokens));
   }
@@ -366,7 +385,7 @@
   }
 
   private void tick(final long nowMs) {
-    if (mayHedge() && nowMs >= limits.hedgeAtMs()) {
+    if (mayHedge() && nowMs >= hedgeAtMs) {
       hedge(nowMs);
     }
     for (final Attempt attempt : List.copyOf(attempts.values())) {
--- a/src/main/java/org/bulrushweir/membership/LoadCeiling.java
+++ b/src/main/java/org/bulrushweir/membership/LoadCeiling.java
@@ -12,6 +12,13 @@
   /** Up to which multiple of the median pace an endpoint counts as healthy. */
   private static final double HEALTHY_FACTOR = 1.5;
 
+  /**
+   * The share of the declared multiple up to which work is accepted. The rest is kept for loads of
+   * peers that have shrunk since they were reported: with the whole multiple, loads were up to 1.48
+   * times the mean where 1.25 is declared; with this share never more than 1.11 times.
+   */
+  private static final double ENFORCED_SHARE = 0.7;
+
   /** The least weight, so that an endpoint is never wholly left. */
   private static final double MINIMUM_WEIGHT = 0.1;
 
@@ -57,6 +64,6 @@
    * @return the ceiling, in work units
    */
   public double allowedLoad(final double loadMultiple, final PoolStatistics statistics) {
-    return loadMultiple * statistics.meanLoad() * weight;
+    return ENFORCED_SHARE * loadMultiple * statistics.meanLoad() * weight;
   }
 }
--- a/src/main/java/org/bulrushweir/membership/PaceMeter.java
+++ b/src/main/java/org/bulrushweir/membership/PaceMeter.java
@@ -34,6 +34,15 @@
     paceMs += share * (intervalMs - paceMs);
   }
 
+  /**
+   * Takes note of a token that says nothing about the pace.
+   *
+   * @param nowMs the current time
+   */
+  public void heard(final long nowMs) {
+    lastTokenMs = nowMs;
+  }
+
   /**
    * Returns the measure. While answers are under way, a pause since the last token counts too.
    *
--- a/src/main/java/org/bulrushweir/replay/EngineModel.java
+++ b/src/main/java/org/bulrushweir/replay/EngineModel.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.replay;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -122,7 +123,9 @@
 
   private int prefillOfStep() {
     int left = speed.prefillTokensPerStep();
-    for (final EngineRun run : running) {
+    final List<EngineRun> byPriority = new ArrayList<>(running);
+    byPriority.sort(Comparator.comparingInt(EngineRun::priority));
+    for (final EngineRun run : byPriority) {
       left -= run.planPrefill(left);
     }
     return speed.prefillTokensPerStep() - left;
--- a/src/main/java/org/bulrushweir/replay/EngineRun.java
+++ b/src/main/java/org/bulrushweir/replay/EngineRun.java
@@ -17,6 +17,9 @@
   /** The tokens to be generated. */
   private final int outputTokens;
 
+  /** Smaller numbers go first. */
+  private final int priority;
+
   /** How many tokens of the prompt were cached. */
   private int cachedTokens;
 
@@ -42,12 +45,19 @@
    * @param chat the chat's hash
    * @param promptTokens the tokens of the prompt
    * @param outputTokens the tokens to be generated
+   * @param priority smaller numbers go first
    */
-  EngineRun(final AttemptKey key, final long chat, final int promptTokens, final int outputTokens) {
+  EngineRun(
+      final AttemptKey key,
+      final long chat,
+      final int promptTokens,
+      final int outputTokens,
+      final int priority) {
     this.key = key;
     this.chat = chat;
     this.promptTokens = promptTokens;
     this.outputTokens = outputTokens;
+    this.priority = priority;
     this.prefillLeft = promptTokens;
   }
 
@@ -67,6 +77,10 @@
     return outputTokens;
   }
 
+  int priority() {
+    return priority;
+  }
+
   int generated() {
     return generated;
   }
--- a/src/main/java/org/bulrushweir/replay/ReplayDispatch.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayDispatch.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.bulrushweir.api.AttemptKey;
+import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.declaration.WorkClass;
 import org.bulrushweir.membership.AgedReport;
 import org.bulrushweir.trace.TraceRecord;
@@ -14,6 +15,7 @@
  * @param workClass its class of work
  * @param continuationTokens how many tokens the caller has already
  * @param cacheExpected whether the caller says that the chat ran here last
+ * @param cacheAt the endpoint that has the chat's cache, null if unknown
  * @param firstTokenMs what is left until the first token is due, in milliseconds
  * @param reports reports that ride on the message
  * @param request where answers go
@@ -24,6 +26,7 @@
     WorkClass workClass,
     int continuationTokens,
     boolean cacheExpected,
+    EndpointId cacheAt,
     long firstTokenMs,
     List<AgedReport> reports,
     ReplayRequest request) {}
--- a/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
@@ -12,6 +12,7 @@
 import org.bulrushweir.admission.EndpointGate;
 import org.bulrushweir.admission.Offer;
 import org.bulrushweir.admission.WorkItem;
+import org.bulrushweir.affinity.CacheImport;
 import org.bulrushweir.affinity.ChatMemory;
 import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.EndpointId;
@@ -37,6 +38,12 @@
   /** How many tokens a part of an answer has after the first one. */
   private static final int TOKENS_PER_PART = 8;
 
+  /** How long an import takes besides its tokens, in milliseconds. */
+  private static final double IMPORT_OVERHEAD_MS = 20;
+
+  /** How many tokens of a cache are imported in a millisecond. */
+  private static final double IMPORT_TOKENS_PER_MS = 24;
+
   /** A point in time that never comes, in milliseconds. */
   private static final long NEVER_MS = Long.MAX_VALUE / 2;
 
@@ -126,7 +133,7 @@
    * @return the work in work units, zero if it is idle
    */
   long largestCost() {
-    return gate.largestCost();
+    return gate.largestWork();
   }
 
   /**
@@ -161,7 +168,7 @@
     if (planned) {
       refreshReport();
       if (replay().policy().enforced()) {
-        handOver();
+        handOver(gate.chatsHere());
       }
       return;
     }
@@ -169,7 +176,7 @@
     accepted.forEach((key, entry) -> entry.message().request().endpointDied(key.attempt()));
   }
 
-  private void handOver() {
+  private void handOver(final List<Long> chats) {
     final List<EndpointView> successors =
         replay().liveEndpoints().stream()
             .map(
@@ -182,12 +189,14 @@
                         0,
                         0))
             .toList();
-    for (final Long chat : gate.chatsHere()) {
-      final int tokens = engine.cached(chat);
-      if (tokens > 0) {
-        final EndpointId receiver = EndpointRanking.home(chat, successors);
-        replay().transmit(() -> replay().endpoint(receiver).imported(chat, tokens));
-      }
+    chats.forEach(chat -> handOver(chat, successors));
+  }
+
+  private void handOver(final long chat, final List<EndpointView> successors) {
+    final int tokens = engine.cached(chat);
+    if (tokens > 0) {
+      final EndpointId receiver = EndpointRanking.home(chat, successors);
+      replay().transmit(() -> replay().endpoint(receiver).imported(chat, tokens));
     }
   }
 
@@ -233,12 +242,10 @@
                 replay().options().service().name(), replay().laggingList().size(), nowMs());
     switch (gate.offer(offer(message), pool)) {
       case AdmissionDecision.Refused refused ->
-          message
-              .request()
-              .refused(message.key().attempt(), refused.kind(), refused.movedTo(), report());
+          message.request().refused(message.key().attempt(), refused, report());
       case AdmissionDecision.Admitted admitted -> {
         accepted.put(message.key(), new Accepted(message));
-        message.request().accepted(message.key().attempt(), report());
+        message.request().accepted(message.key().attempt(), admitted.firstTokenInMs(), report());
         pump();
       }
     }
@@ -280,9 +287,37 @@
             message.key(),
             message.chat().chatHash(),
             message.chat().promptTokens() + message.continuationTokens(),
-            Math.max(1, message.chat().outputTokens() - message.continuationTokens()));
+            Math.max(1, message.chat().outputTokens() - message.continuationTokens()),
+            replay().policy().enforced() ? message.workClass().priority() : 0);
     entry.startedMs = nowMs();
     replay().result().countStart();
+    final long importMs = importMs(message);
+    if (importMs == 0) {
+      engine.start(entry.run);
+      return;
+    }
+    replay().queue().schedule(importMs, () -> startImported(entry));
+  }
+
+  /** Computes how long it takes to bring a chat's cache here, zero if that is not worth it. */
+  private long importMs(final ReplayDispatch message) {
+    if (message.cacheAt() == null || !replay().policy().enforced()) {
+      return 0;
+    }
+    final int there = replay().endpoint(message.cacheAt()).engine.cached(message.chat().chatHash());
+    final int here = engine.cached(message.chat().chatHash());
+    if (!CacheImport.isWorthwhile(there - here)) {
+      return 0;
+    }
+    return Math.round(IMPORT_OVERHEAD_MS + there / IMPORT_TOKENS_PER_MS);
+  }
+
+  private void startImported(final Accepted entry) {
+    if (!alive || !accepted.containsKey(entry.message().key())) {
+      return;
+    }
+    final long chat = entry.message().chat().chatHash();
+    engine.store(chat, replay().endpoint(entry.message().cacheAt()).engine.cached(chat));
     engine.start(entry.run);
   }
 
@@ -292,8 +327,8 @@
       return;
     }
     final Accepted entry = accepted.get(run.key());
+    gate.token(run.key(), intervalMs, nowMs());
     if (run.generated() > 1) {
-      gate.token(intervalMs, nowMs());
       replay().result().countTokenInterval(intervalMs);
     }
     entry.pendingTokens++;
@@ -313,6 +348,9 @@
     }
     final Accepted entry = accepted.remove(run.key());
     gate.finish(run.key(), run.promptTokens() + run.outputTokens(), nowMs());
+    if (!listed && replay().policy().enforced()) {
+      handOver(List.of(run.chat()));
+    }
     slotTimes.put(run.key(), nowMs() - entry.startedMs);
     replay().result().countWork(work(run), true);
     entry
@@ -375,7 +413,10 @@
       entry
           .message()
           .request()
-          .refused(item.key().attempt(), RefusalKind.DEADLINE_UNREACHABLE, null, report());
+          .refused(
+              item.key().attempt(),
+              new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, 0, null, 0),
+              report());
     }
     pump();
   }
--- a/src/main/java/org/bulrushweir/replay/ReplayRequest.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayRequest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.bulrushweir.admission.AdmissionDecision;
 import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.RequestId;
@@ -28,7 +29,7 @@
 final class ReplayRequest {
 
   /** How many endpoints may be asked. */
-  private static final int MAXIMUM_ATTEMPTS = 6;
+  private static final int MAXIMUM_ATTEMPTS = 9;
 
   /** How long a router takes to notice that an endpoint is gone, in milliseconds. */
   private static final long SILENCE_MS = 1_500;
@@ -60,6 +61,9 @@
   /** When the request came, in milliseconds. */
   private final long startMs;
 
+  /** How many tokens of the prompt could have been cached when the request came. */
+  private final int cacheableTokens;
+
   /** The request's id. */
   private final RequestId id;
 
@@ -86,6 +90,7 @@
     this.workClass = workClass;
     this.hint = hint;
     this.startMs = router.nowMs();
+    this.cacheableTokens = router.replay().cacheableTokens(chat);
     this.id = router.replay().nextRequestId();
     final long delayMs =
         router.replay().policy().hedged()
@@ -146,6 +151,7 @@
             workClass,
             action.continuationTokens(),
             action.endpoint().equals(hint),
+            action.cacheAt(),
             action.firstTokenMs(),
             reports,
             this);
@@ -165,7 +171,7 @@
     router.contacts().failed(endpoint, router.nowMs());
     feed(
         new RequestEvent.Refused(
-            attempt, RefusalKind.UNREACHABLE, 0, null, "the endpoint is gone"));
+            attempt, RefusalKind.UNREACHABLE, 0, null, 0, "the endpoint is gone"));
   }
 
   private void resume(final int attempt) {
@@ -191,16 +197,17 @@
    * Hears that an attempt was accepted.
    *
    * @param attempt the attempt
+   * @param firstTokenInMs when the first token is expected, in milliseconds
    * @param report the endpoint's report
    */
-  void accepted(final int attempt, final AgedReport report) {
+  void accepted(final int attempt, final long firstTokenInMs, final AgedReport report) {
     router
         .replay()
         .transmit(
             () -> {
               router.learn(report);
               router.contacts().reached(places.get(attempt));
-              feed(new RequestEvent.Accepted(attempt));
+              feed(new RequestEvent.Accepted(attempt, firstTokenInMs));
             });
   }
 
@@ -208,22 +215,25 @@
    * Hears that an attempt was refused.
    *
    * @param attempt the attempt
-   * @param kind why
-   * @param movedTo where the chat's cache is, null if unknown
+   * @param refusal why
    * @param report the endpoint's report
    */
   void refused(
-      final int attempt,
-      final RefusalKind kind,
-      final EndpointId movedTo,
-      final AgedReport report) {
-    router.replay().result().countRefusal(kind);
+      final int attempt, final AdmissionDecision.Refused refusal, final AgedReport report) {
+    router.replay().result().countRefusal(refusal.kind());
     router
         .replay()
         .transmit(
             () -> {
               router.learn(report);
-              feed(new RequestEvent.Refused(attempt, kind, 0, movedTo, kind.name()));
+              feed(
+                  new RequestEvent.Refused(
+                      attempt,
+                      refusal.kind(),
+                      0,
+                      refusal.movedTo(),
+                      refusal.cachedTokens(),
+                      refusal.kind().name()));
             });
   }
 
@@ -293,9 +303,12 @@
             firstTokenMs > workClass.firstTokenMs() || elapsedMs > workClass.deadlineMs();
         result.countRan(workClass.name(), elapsedMs, late);
         result.countPrompt(
-            chat.promptTokens(),
-            Math.min(chat.promptTokens(), ran.summary().cachedTokens()),
-            router.replay().cacheableTokens(chat));
+            new PromptSample(
+                chat.timeMs(),
+                chat.chatHash(),
+                chat.promptTokens(),
+                Math.min(chat.promptTokens(), ran.summary().cachedTokens()),
+                cacheableTokens));
         router.replay().answered(chat, ran.endpoint());
         router.replay().endpoint(ran.endpoint()).wasUseful(attemptAt(ran.endpoint()), late);
         tellHome(ran.endpoint());
--- a/src/main/java/org/bulrushweir/replay/ReplayResult.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayResult.java
@@ -38,6 +38,9 @@
   /** Counts refusals of attempts. */
   private final Map<RefusalKind, Integer> refusals = new EnumMap<>(RefusalKind.class);
 
+  /** The prompts of answered requests. */
+  private final List<PromptSample> prompts = new ArrayList<>();
+
   /** The loads of the engines over time. */
   private final List<LoadSample> samples = new ArrayList<>();
 
@@ -59,10 +62,7 @@
   /** How many attempts were started at engines. */
   private int starts;
 
-  /** How many prompt tokens answered requests had. */
-  private long promptTokens;
-
-  /** How many of them were cached. */
+  /** How many prompt tokens of answered requests were cached. */
   private long cachedTokens;
 
   /** How many of them an unlimited cache that knows everything would have had. */
@@ -122,14 +122,12 @@
   /**
    * Takes note of the prompt of an answered request.
    *
-   * @param tokens its tokens
-   * @param cached how many were cached
-   * @param cacheable how many could have been cached
+   * @param sample the prompt
    */
-  void countPrompt(final int tokens, final int cached, final int cacheable) {
-    promptTokens += tokens;
-    cachedTokens += cached;
-    cacheableTokens += cacheable;
+  void countPrompt(final PromptSample sample) {
+    prompts.add(sample);
+    cachedTokens += sample.cachedTokens();
+    cacheableTokens += sample.cacheableTokens();
   }
 
   /**
@@ -240,6 +238,15 @@
     return refusals;
   }
 
+  /**
+   * Returns the prompts of answered requests.
+   *
+   * @return the prompts in the order in which the answers ended
+   */
+  public List<PromptSample> prompts() {
+    return prompts;
+  }
+
   /**
    * Returns the loads of the engines over time.
    *
--- a/src/main/java/org/bulrushweir/router/EndpointLink.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLink.java
@@ -97,6 +97,7 @@
                         RefusalKind.UNREACHABLE,
                         0,
                         null,
+                        0,
                         "the endpoint can't be reached: " + failure.getMessage()));
                 return;
               }
@@ -306,7 +307,8 @@
         pass(
             envelope.getAccepted().getRequest(),
             envelope.getAccepted().getAttempt(),
-            new RequestEvent.Accepted(envelope.getAccepted().getAttempt()));
+            new RequestEvent.Accepted(
+                envelope.getAccepted().getAttempt(), envelope.getAccepted().getFirstTokenInMs()));
       }
       case REFUSAL -> refused(envelope.getRefusal());
       case FRAME -> frame(envelope.getFrame());
@@ -343,6 +345,7 @@
             Refusals.fromWire(refusal.getReason()),
             refusal.getRetryAfterMs(),
             movedTo,
+            refusal.getCachedTokens(),
             refusal.getDetail()));
   }
 
--- a/src/main/java/org/bulrushweir/router/RequestDriver.java
+++ b/src/main/java/org/bulrushweir/router/RequestDriver.java
@@ -25,7 +25,7 @@
 /** Runs requests: chooses candidates, sets limits, drives the machine. */
 public final class RequestDriver {
 
-  private static final int MAXIMUM_ATTEMPTS = 6;
+  private static final int MAXIMUM_ATTEMPTS = 9;
   private static final double RETRY_SHARE = 0.1;
   private static final double HEDGE_SHARE = 0.05;
   private static final double BUDGET_CAPACITY = 10;
@@ -130,7 +130,7 @@
     if (spec.kind() == Kind.CALL) {
       return new CallCandidates(views, random);
     }
-    return new ChatCandidates(spec.chat(), spec.hint(), views, spec.service().loadMultiple());
+    return new ChatCandidates(spec.chat(), spec.hint(), views);
   }
 
   /** Tells a chat's home sidecar where the chat's cache is now, if that is elsewhere. */
--- a/src/main/java/org/bulrushweir/router/RequestRunner.java
+++ b/src/main/java/org/bulrushweir/router/RequestRunner.java
@@ -144,7 +144,7 @@
     if (target.isEmpty()) {
       events.add(
           new RequestEvent.Refused(
-              action.attempt(), RefusalKind.UNREACHABLE, 0, null, "the endpoint is gone"));
+              action.attempt(), RefusalKind.UNREACHABLE, 0, null, 0, "the endpoint is gone"));
       return;
     }
     links
@@ -175,6 +175,7 @@
         .setContinuation(action.continuation())
         .setContinuationTokens(action.continuationTokens())
         .setCacheExpected(action.endpoint().equals(spec.hint()))
+        .setCacheAt(action.cacheAt() == null ? "" : action.cacheAt().value())
         .addAllReports(fleet.reportsFor(spec.service().name(), action.endpoint(), MAXIMUM_REPORTS));
   }
 
--- a/src/main/java/org/bulrushweir/routing/ChatCandidates.java
+++ b/src/main/java/org/bulrushweir/routing/ChatCandidates.java
@@ -8,11 +8,18 @@
 import org.bulrushweir.delivery.CandidateSource;
 
 /**
- * Proposes endpoints for a chat. Each proposal looks at the endpoints anew, since a refusal has
- * just told how loaded they are.
+ * Proposes endpoints for a chat: first the one that most likely has its cache, then those that
+ * carry the least. Each proposal looks at the endpoints anew, since a refusal has just told how
+ * loaded they are.
  */
 public final class ChatCandidates implements CandidateSource {
 
+  /**
+   * After how many proposals endpoints are proposed again. By then the reports of those that have
+   * refused are fresh, so that the one that carries the least knows that it does.
+   */
+  private static final int FIRST_PASS = 7;
+
   /** The chat's hash. */
   private final long chat;
 
@@ -22,8 +29,8 @@
   /** Tells what is known of the endpoints. */
   private final Supplier<List<EndpointView>> views;
 
-  /** The declared multiple of the mean load. */
-  private final double loadMultiple;
+  /** How many endpoints were proposed. */
+  private int proposals;
 
   /**
    * Creates the source.
@@ -31,24 +38,25 @@
    * @param chat the chat's hash
    * @param hint where the chat's last answer came from, null if unknown
    * @param views tells what is known of the endpoints
-   * @param loadMultiple the declared multiple of the mean load
    */
   public ChatCandidates(
-      final long chat,
-      final EndpointId hint,
-      final Supplier<List<EndpointView>> views,
-      final double loadMultiple) {
+      final long chat, final EndpointId hint, final Supplier<List<EndpointView>> views) {
     this.chat = chat;
     this.hint = hint;
     this.views = views;
-    this.loadMultiple = loadMultiple;
   }
 
   @Override
   public Optional<EndpointId> next(final Set<EndpointId> tried, final EndpointId movedTo) {
-    final EndpointId preferred = movedTo == null ? hint : movedTo;
-    return EndpointRanking.forChat(chat, preferred, views.get(), loadMultiple).stream()
-        .filter(endpoint -> !tried.contains(endpoint))
+    final List<EndpointView> now = views.get();
+    final boolean affinity = tried.isEmpty() || movedTo != null && !tried.contains(movedTo);
+    final List<EndpointId> order =
+        affinity
+            ? EndpointRanking.forChat(chat, movedTo == null ? hint : movedTo, now)
+            : EndpointRanking.byLoad(chat, now);
+    proposals++;
+    return order.stream()
+        .filter(endpoint -> proposals > FIRST_PASS || !tried.contains(endpoint))
         .findFirst();
   }
 }
--- a/src/main/java/org/bulrushweir/routing/EndpointRanking.java
+++ b/src/main/java/org/bulrushweir/routing/EndpointRanking.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
@@ -13,7 +14,7 @@
  */
 public final class EndpointRanking {
 
-  /** Up to which age a report of load is worth acting upon, in milliseconds. */
+  /** Up to which age a report of pace is worth acting upon, in milliseconds. */
   private static final long USEFUL_AGE_MS = 1_000;
 
   /** From which multiple of the median pace on an endpoint counts as slow. */
@@ -24,7 +25,6 @@
   /** How likely an endpoint serves a request well; the lesser the better. */
   private enum Tier {
     GOOD,
-    LOADED,
     SLOW,
     SUSPECT
   }
@@ -36,20 +36,15 @@
    * @param chat the chat's hash
    * @param hint where the chat's last answer came from, null if unknown
    * @param views the endpoints
-   * @param loadMultiple the declared multiple of the mean load
    * @return the endpoints, best first
    */
   public static List<EndpointId> forChat(
-      final long chat,
-      final EndpointId hint,
-      final List<EndpointView> views,
-      final double loadMultiple) {
-    final double allowedLoad = loadMultiple * meanLoad(views);
+      final long chat, final EndpointId hint, final List<EndpointView> views) {
     final int medianPace = medianPace(views);
     final List<Ranked> ranked = new ArrayList<>(views.size());
     for (final EndpointView view : views) {
       final long score = view.id().equals(hint) ? Long.MAX_VALUE : score(chat, view.key());
-      ranked.add(new Ranked(view.id(), tier(view, allowedLoad, medianPace), score));
+      ranked.add(new Ranked(view.id(), tier(view, medianPace), score));
     }
     ranked.sort(
         Comparator.comparing(Ranked::tier)
@@ -58,6 +53,26 @@
     return ranked.stream().map(Ranked::id).toList();
   }
 
+  /**
+   * Ranks endpoints for a chat that the endpoint with its cache does not take: those that carry the
+   * least go first, among equals those that rendezvous hashing assigns.
+   *
+   * @param chat the chat's hash
+   * @param views the endpoints
+   * @return the endpoints, best first
+   */
+  public static List<EndpointId> byLoad(final long chat, final List<EndpointView> views) {
+    final int medianPace = medianPace(views);
+    final List<EndpointView> ordered = new ArrayList<>(views);
+    ordered.sort(
+        Comparator.comparing((EndpointView view) -> tier(view, medianPace))
+            .thenComparingLong(EndpointView::load)
+            .thenComparing(
+                Comparator.comparingLong((EndpointView view) -> score(chat, view.key()))
+                    .reversed()));
+    return ordered.stream().map(EndpointView::id).toList();
+  }
+
   /**
    * Finds the endpoint that rendezvous hashing assigns to a chat, whatever its state.
    *
@@ -90,19 +105,18 @@
       final List<EndpointView> views, final RandomGenerator random) {
     final List<EndpointView> shuffled = new ArrayList<>(views);
     for (int index = shuffled.size() - 1; index > 0; index--) {
-      java.util.Collections.swap(shuffled, index, random.nextInt(index + 1));
+      Collections.swap(shuffled, index, random.nextInt(index + 1));
     }
     shuffled.sort(Comparator.comparing(view -> view.suspect() ? Tier.SUSPECT : Tier.GOOD));
     if (shuffled.size() > 1
         && !shuffled.get(1).suspect()
         && shuffled.get(1).load() < shuffled.get(0).load()) {
-      java.util.Collections.swap(shuffled, 0, 1);
+      Collections.swap(shuffled, 0, 1);
     }
     return shuffled.stream().map(EndpointView::id).toList();
   }
 
-  private static Tier tier(
-      final EndpointView view, final double allowedLoad, final int medianPace) {
+  private static Tier tier(final EndpointView view, final int medianPace) {
     if (view.suspect()) {
       return Tier.SUSPECT;
     }
@@ -112,19 +126,7 @@
     if (medianPace > 0 && view.paceMicros() > SLOW_FACTOR * medianPace) {
       return Tier.SLOW;
     }
-    return view.load() > allowedLoad ? Tier.LOADED : Tier.GOOD;
-  }
-
-  private static double meanLoad(final List<EndpointView> views) {
-    double sum = 0;
-    int count = 0;
-    for (final EndpointView view : views) {
-      if (view.loadAgeMs() <= USEFUL_AGE_MS) {
-        sum += view.load();
-        count++;
-      }
-    }
-    return count == 0 ? 0 : sum / count;
+    return Tier.GOOD;
   }
 
   private static int medianPace(final List<EndpointView> views) {
--- a/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
+++ b/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
@@ -130,23 +130,31 @@
               channel,
               key,
               SidecarMessages.refusal(
-                  key,
-                  refused.kind(),
-                  refused.retryAfterMs(),
-                  refused.movedTo(),
-                  "the endpoint does not take the request now",
-                  report()));
-      case AdmissionDecision.Admitted admitted -> accept(channel, key, dispatch, offer);
+                      key,
+                      refused.kind(),
+                      refused.retryAfterMs(),
+                      refused.movedTo(),
+                      "the endpoint does not take the request now",
+                      report())
+                  .toBuilder()
+                  .setCachedTokens(refused.cachedTokens())
+                  .build());
+      case AdmissionDecision.Admitted admitted ->
+          accept(channel, key, dispatch, offer, admitted.firstTokenInMs());
     }
   }
 
   private void accept(
-      final PeerChannel channel, final AttemptKey key, final Dispatch dispatch, final Offer offer) {
+      final PeerChannel channel,
+      final AttemptKey key,
+      final Dispatch dispatch,
+      final Offer offer,
+      final long firstTokenInMs) {
     final SidecarRun run = new SidecarRun(key, dispatch, offer, channel);
     runs.put(key, run);
     ledger.put(key, AttemptState.QUEUED, clock.nowMs());
     record(EventKind.ATTEMPT_ADMITTED, key, "");
-    channel.send(SidecarMessages.accepted(key, incarnation.value(), report()));
+    channel.send(SidecarMessages.accepted(key, incarnation.value(), firstTokenInMs, report()));
     run.buffer().subscribe(new ChannelSubscriber(key, channel, () -> lastReport), 0);
     pump();
   }
@@ -323,8 +331,8 @@
   }
 
   @Override
-  public synchronized void token(final double intervalMs) {
-    gate.token(intervalMs, clock.nowMs());
+  public synchronized void token(final SidecarRun run, final double intervalMs) {
+    gate.token(run.key(), intervalMs, clock.nowMs());
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
@@ -255,9 +255,7 @@
     @Override
     public void token(final String text) {
       final long nowMs = clock.nowMs();
-      if (lastMs != 0) {
-        listener.token(nowMs - lastMs);
-      }
+      listener.token(run, lastMs == 0 ? 0 : Math.max(1, nowMs - lastMs));
       lastMs = nowMs;
       run.buffer().append(new AnswerPart(ByteString.copyFromUtf8(text), 1));
     }
--- a/src/main/java/org/bulrushweir/sidecar/RunListener.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunListener.java
@@ -9,9 +9,11 @@
   /**
    * A token was generated.
    *
-   * @param intervalMs how long it took since the one before it in the same answer
+   * @param run the run
+   * @param intervalMs how long it took since the one before it in the same answer, zero for the
+   *     first one
    */
-  void token(double intervalMs);
+  void token(SidecarRun run, double intervalMs);
 
   /**
    * A run has ended.
--- a/src/main/java/org/bulrushweir/sidecar/SidecarMessages.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarMessages.java
@@ -21,17 +21,22 @@
    *
    * @param key the attempt
    * @param incarnation the sidecar's incarnation
+   * @param firstTokenInMs when the first token is expected, in milliseconds from now
    * @param report the endpoint's report
    * @return the message
    */
   static Envelope.Builder accepted(
-      final AttemptKey key, final long incarnation, final Report report) {
+      final AttemptKey key,
+      final long incarnation,
+      final long firstTokenInMs,
+      final Report report) {
     return Envelope.newBuilder()
         .setAccepted(
             Accepted.newBuilder()
                 .setRequest(key.request().value())
                 .setAttempt(key.attempt())
                 .setIncarnation(incarnation)
+                .setFirstTokenInMs((int) firstTokenInMs)
                 .setReport(report));
   }
 
--- a/src/main/java/org/bulrushweir/trace/TraceGenerator.java
+++ b/src/main/java/org/bulrushweir/trace/TraceGenerator.java
@@ -15,6 +15,12 @@
   /** How far pauses spread around their medians, as the standard deviation of their logarithms. */
   private static final double PAUSE_SPREAD = 0.8;
 
+  /** How long the reading of a prompt token usually takes, in milliseconds. */
+  private static final double USUAL_PROMPT_TOKEN_MS = 0.2;
+
+  /** How long the generation of a token usually takes, in milliseconds. */
+  private static final double USUAL_OUTPUT_TOKEN_MS = 30;
+
   /** How many milliseconds a second has. */
   private static final double MILLISECONDS_PER_SECOND = 1_000;
 
@@ -67,12 +73,17 @@
       records.add(
           new TraceRecord.ChatRequested(
               timeMs, organisation, workClass.name(), chat, promptTokens, outputTokens));
+      timeMs += readingMs(promptTokens, outputTokens) + pauseMs();
       promptTokens += outputTokens + around(workClass.turnTokens());
-      timeMs += pauseMs();
       again = random.nextDouble() > 1 / profile.turnsPerChat();
     }
   }
 
+  /** Estimates how long an answer takes, during which a caller does not ask again. */
+  private static long readingMs(final int promptTokens, final int outputTokens) {
+    return Math.round(promptTokens * USUAL_PROMPT_TOKEN_MS + outputTokens * USUAL_OUTPUT_TOKEN_MS);
+  }
+
   private String organisation() {
     final int large = profile.largeOrganisations();
     final int all = profile.organisations().size();
--- a/src/main/java/org/bulrushweir/trace/UserProfiles.java
+++ b/src/main/java/org/bulrushweir/trace/UserProfiles.java
@@ -25,7 +25,7 @@
         0.6,
         2,
         DURATION_MS,
-        1.6,
+        3.2,
         5,
         12_000,
         List.of(
@@ -48,7 +48,7 @@
         0.7,
         3,
         DURATION_MS,
-        3,
+        6,
         6,
         9_000,
         List.of(
