Admission by expected first token; others protected in a surge; caches fetched from former homes

Cause: queues by class and organisation let 3.0 s pass before a refusal under overload (target 100 ms), as what was queued was overtaken. An attempt is now accepted only if the slots' schedule gives it and all queued ones their first token in 0.7 of the time, and runs in order of what is due. With the whole time instead of 0.7: told after 1,533 ms.

--- a/src/main/java/org/bulrushweir/admission/AdmissionController.java
+++ b/src/main/java/org/bulrushweir/admission/AdmissionController.java
@@ -1,15 +1,13 @@
 package org.bulrushweir.admission;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.OrganisationId;
-import org.bulrushweir.declaration.WorkClass;
 import org.bulrushweir.delivery.RefusalKind;
 
 /**
@@ -17,23 +15,56 @@
  * threads.
  *
  * <p>An attempt is accepted only if the endpoint then carries no more than it may, its largest
- * attempt left out, so that it never carries more than that plus one attempt. Among the accepted
- * ones, classes go by priority, waiting attempts gain priority with time, and organisations within
- * a class share by weight.
+ * attempt left out, so that it never carries more than that plus one attempt; if its first token
+ * and those of all attempts that are queued already are expected in time; and, while slots are
+ * scarce, if its organisation does not hold more than its share. Whoever is refused is told at
+ * once. Accepted attempts run in the order in which their first tokens are due.
  */
 public final class AdmissionController {
 
-  private static final long PRIORITY_STEP_MS = 2_000;
+  /** The order in which queued attempts run. */
+  private static final Comparator<WorkItem> ORDER =
+      Comparator.comparingLong(WorkItem::startByMs)
+          .thenComparingLong(WorkItem::arrivedMs)
+          .thenComparing(item -> item.key().toString());
 
-  private final Map<String, FairQueue> queues = new TreeMap<>();
-  private final Map<String, WorkClass> classes = new HashMap<>();
+  /**
+   * The share of the time to the first token within which it must be expected. With the whole time,
+   * one refusal in a hundred came only after the attempt had been queued for 1.5 s.
+   */
+  private static final double USABLE_SHARE = 0.7;
+
+  /** How many times its share of the slots an organisation may hold, running or queued. */
+  private static final double SHARE_FACTOR = 1.5;
+
+  /** The queued attempts in the order in which they run. */
+  private final TreeSet<WorkItem> queue = new TreeSet<>(ORDER);
+
+  /** The queued attempts by key. */
   private final Map<AttemptKey, WorkItem> queued = new HashMap<>();
+
+  /** The running attempts by key. */
   private final Map<AttemptKey, RunningItem> running = new HashMap<>();
+
+  /** How many attempts of each organisation run. */
   private final Map<OrganisationId, Integer> slotsHeld = new HashMap<>();
+
+  /** How many attempts of each organisation are queued or running. */
+  private final Map<OrganisationId, Integer> attemptsHeld = new HashMap<>();
+
+  /** Measures how long the endpoint takes. */
   private final ServiceRate rate = new ServiceRate();
+
+  /** The settings. */
   private AdmissionSettings settings;
+
+  /** Whether no new attempts are taken. */
   private boolean leaving;
+
+  /** The work that is queued or running, in work units. */
   private long load;
+
+  /** How many attempts that are not short run. */
   private int longRunning;
 
   /**
@@ -88,7 +119,7 @@
    */
   public long largestWork() {
     long largest = 0;
-    for (final WorkItem item : queued.values()) {
+    for (final WorkItem item : queue) {
       largest = Math.max(largest, item.cost());
     }
     for (final RunningItem item : running.values()) {
@@ -98,38 +129,21 @@
   }
 
   /**
-   * Tells whether the endpoint is reading a prompt.
-   *
-   * @return true if a running attempt has not generated a token yet
-   */
-  public boolean isReadingPrompts() {
-    return running.values().stream().anyMatch(item -> !item.hasBegun());
-  }
-
-  /**
-   * Takes note that a running attempt has generated a token.
+   * Tells whether any attempt is running.
    *
-   * @param key the attempt
-   * @param nowMs the current time
+   * @return true if a slot is taken
    */
-  public void progress(final AttemptKey key, final long nowMs) {
-    final RunningItem item = running.get(key);
-    if (item == null) {
-      return;
-    }
-    if (!item.hasBegun()) {
-      rate.recordPrompt(item.item().promptCost(), nowMs - item.startedMs());
-    }
-    load -= item.progress();
+  public boolean isRunning() {
+    return !running.isEmpty();
   }
 
   /**
-   * Tells whether any attempt is running.
+   * Tells whether the endpoint is reading a prompt.
    *
-   * @return true if a slot is taken
+   * @return true if a running attempt has not generated a token yet
    */
-  public boolean isRunning() {
-    return !running.isEmpty();
+  public boolean isReadingPrompts() {
+    return running.values().stream().anyMatch(item -> !item.hasBegun());
   }
 
   /**
@@ -152,34 +166,77 @@
     if (leaving) {
       return new AdmissionDecision.Refused(RefusalKind.LEAVING, 0, null, 0);
     }
+    final double expectedMs = expectedFirstTokenInMs(item);
     if (load + item.cost() - Math.max(item.cost(), largestWork()) > allowedLoad) {
-      return new AdmissionDecision.Refused(RefusalKind.OVERLOADED, estimatedWaitMs(item), null, 0);
+      return refused(RefusalKind.OVERLOADED, expectedMs);
+    }
+    if (isScarce() && exceedsShare(item.organisation())) {
+      return refused(RefusalKind.RATE_LIMITED, expectedMs);
     }
-    final long waitMs = estimatedWaitMs(item);
-    if (item.arrivedMs() + waitMs > item.startByMs()) {
-      return new AdmissionDecision.Refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs, null, 0);
+    if (expectedMs == Double.POSITIVE_INFINITY) {
+      return refused(RefusalKind.DEADLINE_UNREACHABLE, waitMs());
     }
-    classes.put(item.workClass().name(), item.workClass());
-    queues.computeIfAbsent(item.workClass().name(), name -> new FairQueue()).add(item);
+    queue.add(item);
     queued.put(item.key(), item);
+    attemptsHeld.merge(item.organisation(), 1, Integer::sum);
     load += item.cost();
-    return new AdmissionDecision.Admitted(waitMs + rate.promptMs(item.promptCost()));
+    return new AdmissionDecision.Admitted(Math.round(expectedMs));
   }
 
-  private long estimatedWaitMs(final WorkItem item) {
-    if (running.size() < settings.slots()) {
-      return 0;
+  private AdmissionDecision refused(final RefusalKind kind, final double retryAfterMs) {
+    final long finiteMs = Double.isInfinite(retryAfterMs) ? waitMs() : Math.round(retryAfterMs);
+    return new AdmissionDecision.Refused(kind, finiteMs, null, 0);
+  }
+
+  /**
+   * Estimates when the first token of an attempt comes, infinite if it or that of an attempt that
+   * is queued already would come too late.
+   */
+  private double expectedFirstTokenInMs(final WorkItem item) {
+    final SlotSchedule schedule = new SlotSchedule(settings, running.values(), rate);
+    double ownMs = 0;
+    boolean placed = false;
+    for (final WorkItem other : queue) {
+      if (!placed && ORDER.compare(item, other) < 0) {
+        ownMs = schedule.firstTokenInMs(item);
+        placed = true;
+      }
+      final double otherMs = schedule.firstTokenInMs(other);
+      if (placed && item.arrivedMs() + otherMs > other.startByMs()) {
+        return Double.POSITIVE_INFINITY;
+      }
     }
-    double ahead = 0;
-    for (final RunningItem other : running.values()) {
-      ahead += other.remaining();
+    if (!placed) {
+      ownMs = schedule.firstTokenInMs(item);
     }
-    for (final Map.Entry<String, FairQueue> entry : queues.entrySet()) {
-      if (classes.get(entry.getKey()).priority() <= item.workClass().priority()) {
-        ahead += entry.getValue().queuedCost();
+    final double usableMs = USABLE_SHARE * (item.startByMs() - item.arrivedMs());
+    return ownMs > usableMs ? Double.POSITIVE_INFINITY : ownMs;
+  }
+
+  /** Estimates when the queue will have been worked off, in milliseconds. */
+  private long waitMs() {
+    final SlotSchedule schedule = new SlotSchedule(settings, running.values(), rate);
+    double lastMs = 0;
+    for (final WorkItem item : queue) {
+      lastMs = Math.max(lastMs, schedule.firstTokenInMs(item));
+    }
+    return Math.round(lastMs);
+  }
+
+  private boolean isScarce() {
+    return inFlight() >= settings.slots() - settings.reservedSlots();
+  }
+
+  private boolean exceedsShare(final OrganisationId organisation) {
+    double weights = settings.share(organisation).weight();
+    for (final Map.Entry<OrganisationId, Integer> held : attemptsHeld.entrySet()) {
+      if (!held.getKey().equals(organisation)) {
+        weights += settings.share(held.getKey()).weight();
       }
     }
-    return Math.round(ahead * rate.unitMs() / settings.slots());
+    final double share = settings.share(organisation).weight() / weights;
+    final double allowed = Math.max(1, SHARE_FACTOR * share * settings.slots());
+    return share < 1 && attemptsHeld.getOrDefault(organisation, 0) >= allowed;
   }
 
   /**
@@ -192,34 +249,26 @@
     if (running.size() >= settings.slots()) {
       return Optional.empty();
     }
-    final Optional<WorkItem> next =
-        queues.values().stream()
-            .map(queue -> queue.peek(this::mayHoldAnotherSlot))
-            .flatMap(Optional::stream)
-            .filter(this::hasSlotFor)
-            .min(
-                Comparator.comparingLong((WorkItem item) -> urgency(item, nowMs))
-                    .thenComparing(item -> item.workClass().name()));
-    next.ifPresent(item -> start(item, nowMs));
-    return next;
-  }
-
-  private boolean mayHoldAnotherSlot(final OrganisationId organisation) {
-    return slotsHeld.getOrDefault(organisation, 0) < settings.maximumSlots(organisation);
+    for (final WorkItem item : queue) {
+      if (hasSlotFor(item)) {
+        start(item, nowMs);
+        return Optional.of(item);
+      }
+    }
+    return Optional.empty();
   }
 
   private boolean hasSlotFor(final WorkItem item) {
+    final int held = slotsHeld.getOrDefault(item.organisation(), 0);
+    if (held >= settings.maximumSlots(item.organisation())) {
+      return false;
+    }
     return item.workClass().shortWork()
         || longRunning < settings.slots() - settings.reservedSlots();
   }
 
-  private static long urgency(final WorkItem item, final long nowMs) {
-    final long waitedMs = nowMs - item.arrivedMs();
-    return item.workClass().priority() * PRIORITY_STEP_MS - waitedMs;
-  }
-
   private void start(final WorkItem item, final long nowMs) {
-    queues.get(item.workClass().name()).take(item, settings.share(item.organisation()).weight());
+    queue.remove(item);
     queued.remove(item.key());
     running.put(item.key(), new RunningItem(item, nowMs));
     slotsHeld.merge(item.organisation(), 1, Integer::sum);
@@ -228,6 +277,26 @@
     }
   }
 
+  /**
+   * Takes note that a running attempt has generated a token.
+   *
+   * @param key the attempt
+   * @param intervalMs how long it took since the one before it, zero for the first one
+   * @param nowMs the current time
+   */
+  public void progress(final AttemptKey key, final double intervalMs, final long nowMs) {
+    final RunningItem item = running.get(key);
+    if (item == null) {
+      return;
+    }
+    if (item.hasBegun()) {
+      rate.recordToken(intervalMs);
+    } else {
+      rate.recordPrompt(item.item().promptCost(), nowMs - item.startedMs());
+    }
+    load -= item.progress();
+  }
+
   /**
    * Takes note that a running attempt has ended.
    *
@@ -240,14 +309,22 @@
       return;
     }
     final WorkItem item = ended.item();
-    rate.record(item.cost(), nowMs - ended.startedMs());
+    if (!ended.hasBegun()) {
+      rate.recordCall(item.cost(), nowMs - ended.startedMs());
+    }
     load -= ended.remaining();
-    slotsHeld.merge(item.organisation(), -1, Integer::sum);
+    release(attemptsHeld, item.organisation());
+    release(slotsHeld, item.organisation());
     if (!item.workClass().shortWork()) {
       longRunning--;
     }
   }
 
+  private static void release(
+      final Map<OrganisationId, Integer> held, final OrganisationId organisation) {
+    held.computeIfPresent(organisation, (key, count) -> count == 1 ? null : count - 1);
+  }
+
   /**
    * Takes an attempt out of the queue.
    *
@@ -259,8 +336,9 @@
     if (item == null) {
       return false;
     }
-    queues.get(item.workClass().name()).remove(item);
+    queue.remove(item);
     load -= item.cost();
+    release(attemptsHeld, item.organisation());
     return true;
   }
 
@@ -271,8 +349,7 @@
    * @return the attempts, which will not run
    */
   public List<WorkItem> expire(final long nowMs) {
-    final List<WorkItem> expired = new ArrayList<>();
-    queues.values().forEach(queue -> expired.addAll(queue.overdue(nowMs)));
+    final List<WorkItem> expired = queue.stream().filter(item -> nowMs > item.startByMs()).toList();
     expired.forEach(item -> cancelQueued(item.key()));
     return expired;
   }
--- a/src/main/java/org/bulrushweir/admission/EndpointGate.java
+++ b/src/main/java/org/bulrushweir/admission/EndpointGate.java
@@ -243,7 +243,7 @@
     if (admission.isReadingPrompts()) {
       lastPromptMs = nowMs;
     }
-    admission.progress(key, nowMs);
+    admission.progress(key, intervalMs, nowMs);
     if (intervalMs > 0 && nowMs - intervalMs > lastPromptMs) {
       pace.token(intervalMs, nowMs);
     } else {
--- a/src/main/java/org/bulrushweir/admission/RunningItem.java
+++ b/src/main/java/org/bulrushweir/admission/RunningItem.java
@@ -46,6 +46,19 @@
     return begun;
   }
 
+  /**
+   * Estimates how long the attempt holds its slot from now on.
+   *
+   * @param rate knows how long the endpoint takes
+   * @return milliseconds
+   */
+  double remainingMs(final ServiceRate rate) {
+    if (begun) {
+      return rate.outputMs(remaining);
+    }
+    return rate.promptMs(item.promptCost()) + rate.outputMs(item.outputCost());
+  }
+
   /**
    * Takes note of a token.
    *
--- a/src/main/java/org/bulrushweir/delivery/RefusalKind.java
+++ b/src/main/java/org/bulrushweir/delivery/RefusalKind.java
@@ -27,7 +27,7 @@
   /** The chat's cache is at another endpoint. */
   MOVED(true),
   /** The organisation has used up its share. */
-  RATE_LIMITED(false),
+  RATE_LIMITED(true),
   /** The endpoint's sidecar does not have the configuration yet that the request came under. */
   NOT_READY(true),
   /** No connection to the endpoint could be opened; nothing was sent. */
--- a/src/main/java/org/bulrushweir/delivery/RequestMachine.java
+++ b/src/main/java/org/bulrushweir/delivery/RequestMachine.java
@@ -233,7 +233,7 @@
             endpoint,
             limits.deadlineMs() - nowMs,
             Math.max(1, limits.firstTokenDeadlineMs() - nowMs),
-            cacheAt,
+            cacheAt == null ? candidates.cacheAt(endpoint).orElse(null) : cacheAt,
             delivered.toString(),
             deliveredTokens));
   }
--- a/src/main/java/org/bulrushweir/replay/Replay.java
+++ b/src/main/java/org/bulrushweir/replay/Replay.java
@@ -204,7 +204,7 @@
         largest.put(endpoint.id(), endpoint.largestCost());
       }
     }
-    result.addSample(new LoadSample(queue.nowMs() - START_MS - WARM_UP_MS, loads, largest));
+    result.addSample(new LoadSample(traceTimeMs(queue.nowMs()), loads, largest));
     if (queue.nowMs() < lastRequestMs) {
       queue.schedule(SAMPLE_INTERVAL_MS, this::sample);
     }
@@ -236,6 +236,16 @@
     return new RequestId(requestCount);
   }
 
+  /**
+   * Converts a time.
+   *
+   * @param timeMs a time of the replay, in milliseconds
+   * @return the time since the start of the trace, in milliseconds
+   */
+  long traceTimeMs(final long timeMs) {
+    return timeMs - START_MS - WARM_UP_MS;
+  }
+
   EventQueue queue() {
     return queue;
   }
--- a/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
@@ -24,6 +24,7 @@
 import org.bulrushweir.delivery.RefusalKind;
 import org.bulrushweir.membership.AgedReport;
 import org.bulrushweir.membership.EndpointInfo;
+import org.bulrushweir.membership.EndpointTable;
 import org.bulrushweir.membership.PoolStatistics;
 import org.bulrushweir.routing.EndpointRanking;
 import org.bulrushweir.routing.EndpointView;
@@ -56,8 +57,8 @@
   /** The attempts that were accepted, by key. */
   private final Map<AttemptKey, Accepted> accepted = new HashMap<>();
 
-  /** The slot time of attempts that have ended, by key, in milliseconds. */
-  private final Map<AttemptKey, Long> slotTimes = new HashMap<>();
+  /** When attempts that have ended were started, by key, in milliseconds. */
+  private final Map<AttemptKey, Accepted> ended = new HashMap<>();
 
   /** The loads of the recent past, for reports that lag. */
   private final Deque<PastLoad> pastLoads = new ArrayDeque<>();
@@ -183,7 +184,8 @@
                 endpoint ->
                     new EndpointView(
                         endpoint.id(),
-                        org.bulrushweir.membership.EndpointTable.key(endpoint.id()),
+                        EndpointTable.key(endpoint.id()),
+                        Long.MAX_VALUE,
                         false,
                         0,
                         0,
@@ -351,7 +353,8 @@
     if (!listed && replay().policy().enforced()) {
       handOver(List.of(run.chat()));
     }
-    slotTimes.put(run.key(), nowMs() - entry.startedMs);
+    entry.endedMs = nowMs();
+    ended.put(run.key(), entry);
     replay().result().countWork(work(run), true);
     entry
         .message()
@@ -376,9 +379,12 @@
    * @param late whether it came too late
    */
   void wasUseful(final AttemptKey key, final boolean late) {
-    final Long slotMs = slotTimes.remove(key);
-    if (slotMs != null && !late) {
-      replay().result().countUsefulTime(slotMs);
+    final Accepted entry = ended.remove(key);
+    if (entry != null && !late) {
+      replay()
+          .result()
+          .countUsefulTime(
+              replay().traceTimeMs(entry.startedMs), replay().traceTimeMs(entry.endedMs));
     }
   }
 
@@ -427,6 +433,7 @@
     private final ReplayDispatch message;
     private EngineRun run;
     private long startedMs;
+    private long endedMs;
     private int parts;
     private int pendingTokens;
 
--- a/src/main/java/org/bulrushweir/replay/ReplayResult.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayResult.java
@@ -74,8 +74,8 @@
   /** How many tokens were generated or read at all. */
   private long workTokens;
 
-  /** How many milliseconds slots were busy with answers that came in time. */
-  private long usefulSlotMs;
+  /** When slots were busy with answers that came in time. */
+  private final List<UsefulTime> usefulTimes = new ArrayList<>();
 
   /**
    * Creates an empty result.
@@ -167,8 +167,14 @@
     wastedTokens += useful ? 0 : tokens;
   }
 
-  void countUsefulTime(final long slotMs) {
-    usefulSlotMs += slotMs;
+  /**
+   * Takes note that a slot was busy with an answer that came in time.
+   *
+   * @param startMs since when, in milliseconds since the start of the trace
+   * @param endMs until when
+   */
+  void countUsefulTime(final long startMs, final long endMs) {
+    usefulTimes.add(new UsefulTime(startMs, endMs));
   }
 
   void addSample(final LoadSample sample) {
@@ -331,10 +337,16 @@
   /**
    * Tells for how long slots were busy with answers that came in time.
    *
+   * @param startMs the start of the time to look at, in milliseconds since the start of the trace
+   * @param endMs its end
    * @return milliseconds, summed over slots
    */
-  public long usefulSlotMs() {
-    return usefulSlotMs;
+  public long usefulSlotMs(final long startMs, final long endMs) {
+    long sumMs = 0;
+    for (final UsefulTime time : usefulTimes) {
+      sumMs += Math.max(0, Math.min(endMs, time.endMs()) - Math.max(startMs, time.startMs()));
+    }
+    return sumMs;
   }
 
   /**
@@ -348,4 +360,12 @@
     histograms.values().forEach(all::add);
     return all;
   }
+
+  /**
+   * Says when a slot was busy.
+   *
+   * @param startMs since when, in milliseconds since the start of the trace
+   * @param endMs until when
+   */
+  private record UsefulTime(long startMs, long endMs) {}
 }
--- a/src/main/java/org/bulrushweir/replay/ReplayRouter.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayRouter.java
@@ -129,6 +129,7 @@
           new EndpointView(
               info.id(),
               EndpointTable.key(info.id()),
+              Long.MAX_VALUE,
               contacts.isSuspect(info.id(), nowMs()),
               endpoint.laggingLoad(),
               0,
--- a/src/main/java/org/bulrushweir/router/RequestDriver.java
+++ b/src/main/java/org/bulrushweir/router/RequestDriver.java
@@ -7,6 +7,7 @@
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.delivery.CandidateSource;
+import org.bulrushweir.delivery.HedgeDelay;
 import org.bulrushweir.delivery.RequestLimits;
 import org.bulrushweir.delivery.RequestMachine;
 import org.bulrushweir.delivery.RequestOutcome;
@@ -32,6 +33,7 @@
 
   private final ShareBudget retryBudget = new ShareBudget(RETRY_SHARE, BUDGET_CAPACITY);
   private final ShareBudget hedgeBudget = new ShareBudget(HEDGE_SHARE, BUDGET_CAPACITY);
+  private final HedgeDelay hedgeDelay = new HedgeDelay();
   private final LinkService links;
   private final FleetService fleet;
   private final Clock clock;
@@ -82,7 +84,7 @@
    * @throws InterruptedException if the thread is interrupted
    */
   RequestOutcome run(final RequestSpec spec, final AnswerSink sink) throws InterruptedException {
-    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics);
+    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics, hedgeDelay);
     meter.started();
     final RequestOutcome outcome = runner(spec, candidates(spec), meter).run();
     meter.finished(outcome);
@@ -102,7 +104,7 @@
   RequestOutcome takeOver(
       final RequestSpec spec, final StreamPosition position, final AnswerSink sink)
       throws InterruptedException {
-    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics);
+    final RequestMeter meter = new RequestMeter(spec, sink, clock, events, metrics, hedgeDelay);
     meter.started();
     final RequestOutcome outcome =
         runner(spec, (tried, movedTo) -> Optional.empty(), meter).takeOver(position);
@@ -119,12 +121,20 @@
             spec.kind() == Kind.CHAT,
             nowMs + spec.deadlineMs(),
             nowMs + Math.min(spec.deadlineMs(), spec.workClass().firstTokenMs()),
-            Long.MAX_VALUE,
+            hedgeAtMs(spec, nowMs),
             MAXIMUM_ATTEMPTS);
     final RequestMachine machine = new RequestMachine(limits, candidates, retryBudget, hedgeBudget);
     return new RequestRunner(spec, machine, links, fleet, clock, sink, events);
   }
 
+  private long hedgeAtMs(final RequestSpec spec, final long nowMs) {
+    if (spec.kind() != Kind.CHAT) {
+      return Long.MAX_VALUE;
+    }
+    final long delayMs = hedgeDelay.delayMs(spec.workClass().name());
+    return delayMs == Long.MAX_VALUE ? Long.MAX_VALUE : nowMs + delayMs;
+  }
+
   private CandidateSource candidates(final RequestSpec spec) {
     final Supplier<List<EndpointView>> views = () -> fleet.views(spec.service().name());
     if (spec.kind() == Kind.CALL) {
--- a/src/main/java/org/bulrushweir/router/RequestMeter.java
+++ b/src/main/java/org/bulrushweir/router/RequestMeter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.delivery.HedgeDelay;
 import org.bulrushweir.delivery.RequestAction;
 import org.bulrushweir.delivery.RequestOutcome;
 import org.bulrushweir.metrics.FleetMetrics;
@@ -27,6 +28,9 @@
   /** The metrics of this process. */
   private final FleetMetrics metrics;
 
+  /** Learns how long first tokens take. */
+  private final HedgeDelay hedgeDelay;
+
   /** When the request came, in milliseconds. */
   private final long startMs;
 
@@ -41,18 +45,21 @@
    * @param clock the clock
    * @param events the events of this process
    * @param metrics the metrics of this process
+   * @param hedgeDelay learns how long first tokens take
    */
   RequestMeter(
       final RequestSpec spec,
       final AnswerSink sink,
       final Clock clock,
       final EventLog events,
-      final FleetMetrics metrics) {
+      final FleetMetrics metrics,
+      final HedgeDelay hedgeDelay) {
     this.spec = spec;
     this.sink = sink;
     this.clock = clock;
     this.events = events;
     this.metrics = metrics;
+    this.hedgeDelay = hedgeDelay;
     this.startMs = clock.nowMs();
   }
 
@@ -68,6 +75,7 @@
   public void part(final RequestAction.Emit emit) throws IOException {
     if (!begun) {
       begun = true;
+      hedgeDelay.record(spec.workClass().name(), clock.nowMs() - startMs);
       metrics.firstToken(
           spec.service().name().value(), spec.workClass().name(), clock.nowMs() - startMs);
     }
--- a/src/main/java/org/bulrushweir/routing/ChatCandidates.java
+++ b/src/main/java/org/bulrushweir/routing/ChatCandidates.java
@@ -59,4 +59,12 @@
         .filter(endpoint -> proposals > FIRST_PASS || !tried.contains(endpoint))
         .findFirst();
   }
+
+  @Override
+  public Optional<EndpointId> cacheAt(final EndpointId endpoint) {
+    if (hint != null) {
+      return hint.equals(endpoint) ? Optional.empty() : Optional.of(hint);
+    }
+    return EndpointRanking.formerHome(chat, endpoint, views.get());
+  }
 }
--- a/src/main/java/org/bulrushweir/routing/EndpointRanking.java
+++ b/src/main/java/org/bulrushweir/routing/EndpointRanking.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.bulrushweir.api.EndpointId;
 
@@ -17,6 +18,12 @@
   /** Up to which age a report of pace is worth acting upon, in milliseconds. */
   private static final long USEFUL_AGE_MS = 1_000;
 
+  /** For how long after its start an endpoint is young, in milliseconds. */
+  private static final long YOUNG_MS = 600_000;
+
+  /** By how much longer an endpoint must have run to count as older, in milliseconds. */
+  private static final long OLDER_BY_MS = 1_000;
+
   /** From which multiple of the median pace on an endpoint counts as slow. */
   private static final double SLOW_FACTOR = 2;
 
@@ -93,6 +100,34 @@
     return best.id();
   }
 
+  /**
+   * Finds the endpoint that was the home of a chat before a young one joined.
+   *
+   * @param chat the chat's hash
+   * @param endpoint the chat's home now
+   * @param views the endpoints
+   * @return the former home, empty if the present one is not young or the only one
+   */
+  public static Optional<EndpointId> formerHome(
+      final long chat, final EndpointId endpoint, final List<EndpointView> views) {
+    long lifeMs = Long.MAX_VALUE;
+    for (final EndpointView view : views) {
+      if (view.id().equals(endpoint)) {
+        lifeMs = view.lifeMs();
+      }
+    }
+    if (lifeMs >= YOUNG_MS) {
+      return Optional.empty();
+    }
+    final List<EndpointView> older = new ArrayList<>();
+    for (final EndpointView view : views) {
+      if (view.lifeMs() > lifeMs + OLDER_BY_MS) {
+        older.add(view);
+      }
+    }
+    return older.isEmpty() ? Optional.empty() : Optional.of(home(chat, older));
+  }
+
   /**
    * Ranks endpoints for a call that belongs to no chat: the less loaded of two random ones goes
    * first, the others follow at random.
--- a/src/main/java/org/bulrushweir/routing/EndpointViews.java
+++ b/src/main/java/org/bulrushweir/routing/EndpointViews.java
@@ -24,7 +24,8 @@
     final long key = EndpointTable.key(info.id());
     final Optional<AgedReport> aged = table.report(key, nowMs);
     if (aged.isEmpty()) {
-      return Optional.of(new EndpointView(info.id(), key, suspect, 0, Long.MAX_VALUE, 0));
+      return Optional.of(
+          new EndpointView(info.id(), key, Long.MAX_VALUE, suspect, 0, Long.MAX_VALUE, 0));
     }
     if (aged.get().report().leaving()) {
       return Optional.empty();
@@ -33,6 +34,7 @@
         new EndpointView(
             info.id(),
             key,
+            nowMs - aged.get().report().incarnation().value(),
             suspect,
             aged.get().report().load(),
             aged.get().ageMs(),
--- a/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
+++ b/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
@@ -335,6 +335,11 @@
     gate.token(run.key(), intervalMs, clock.nowMs());
   }
 
+  @Override
+  public synchronized void cacheBrought(final long chat, final int tokens) {
+    gate.imported(chat, tokens, clock.nowMs());
+  }
+
   @Override
   public void ended(final SidecarRun run, final AttemptEnd end) {
     synchronized (this) {
--- a/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunExecutor.java
@@ -4,11 +4,16 @@
 import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.Consumer;
 import okhttp3.Call;
+import org.bulrushweir.affinity.CacheImport;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.Identifiers;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.delivery.AnswerPart;
 import org.bulrushweir.delivery.AnswerSummary;
@@ -54,6 +59,9 @@
   /** The platform's store, which keeps claims. */
   private final PlatformStore platform;
 
+  /** Fetches caches from other endpoints. */
+  private final CacheFetcher fetcher;
+
   /**
    * Creates an executor.
    *
@@ -62,18 +70,21 @@
    * @param clock the clock
    * @param engine calls the endpoint
    * @param platform the platform's store
+   * @param fetcher fetches caches from other endpoints
    */
   RunExecutor(
       final PeerIdentity self,
       final ServiceName service,
       final Clock clock,
       final EngineClient engine,
-      final PlatformStore platform) {
+      final PlatformStore platform,
+      final CacheFetcher fetcher) {
     this.self = self;
     this.service = service;
     this.clock = clock;
     this.engine = engine;
     this.platform = platform;
+    this.fetcher = fetcher;
   }
 
   /**
@@ -112,6 +123,7 @@
       listener.notRun(run, RefusalKind.BAD_REQUEST, e.getMessage());
       return;
     }
+    bringCache(run, listener);
     final Call call = engine.chatCall(request);
     run.call(call);
     switch (engine.chat(call, new TokenAppender(run, listener, clock))) {
@@ -129,6 +141,46 @@
     }
   }
 
+  /** Brings the cache of a chat here, if another endpoint has it and that is worth it. */
+  private void bringCache(final SidecarRun run, final RunListener listener) {
+    final Dispatch dispatch = run.dispatch();
+    final String holder = dispatch.getCacheAt();
+    if (!Identifiers.isValid(holder)
+        || holder.equals(self.node().value())
+        || !CacheImport.isWorthwhile(dispatch.getPromptTokens())) {
+      return;
+    }
+    final Optional<CacheTransfer> transfer =
+        fetcher.fetch(new EndpointId(holder), dispatch.getChat());
+    if (transfer.isPresent() && importNow(transfer.get())) {
+      listener.cacheBrought(dispatch.getChat(), transfer.get().getTokens());
+    }
+  }
+
+  private boolean importNow(final CacheTransfer transfer) {
+    return engine.importCache(
+        CacheHandover.cacheKey(transfer.getChat()), transfer.getContent().toByteArray());
+  }
+
+  /**
+   * Reads the cache of a chat out of the engine.
+   *
+   * @param chat the chat's hash
+   * @param tokens how many tokens it has
+   * @param done takes the cache, with zero tokens if the engine does not have it
+   */
+  void exportCache(final long chat, final int tokens, final Consumer<CacheTransfer> done) {
+    threads.execute(
+        () -> {
+          final CacheTransfer.Builder transfer = CacheTransfer.newBuilder().setChat(chat);
+          engine
+              .exportCache(CacheHandover.cacheKey(chat))
+              .ifPresent(
+                  content -> transfer.setTokens(tokens).setContent(ByteString.copyFrom(content)));
+          done.accept(transfer.build());
+        });
+  }
+
   private static AnswerSummary summary(final EngineResult.Generated generated) {
     final EngineProtocol.Usage usage = generated.usage();
     final EngineProtocol.PromptTokensDetails details = usage.promptTokensDetails();
@@ -224,10 +276,7 @@
   void importCache(final CacheTransfer transfer, final Runnable done) {
     threads.execute(
         () -> {
-          final boolean taken =
-              engine.importCache(
-                  CacheHandover.cacheKey(transfer.getChat()), transfer.getContent().toByteArray());
-          if (taken) {
+          if (importNow(transfer)) {
             done.run();
           }
         });
--- a/src/main/java/org/bulrushweir/sidecar/RunListener.java
+++ b/src/main/java/org/bulrushweir/sidecar/RunListener.java
@@ -15,6 +15,14 @@
    */
   void token(SidecarRun run, double intervalMs);
 
+  /**
+   * The cache of a chat was brought here from another endpoint.
+   *
+   * @param chat the chat's hash
+   * @param tokens how many tokens it has
+   */
+  void cacheBrought(long chat, int tokens);
+
   /**
    * A run has ended.
    *
--- a/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarCore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.bulrushweir.admission.EndpointGate;
 import org.bulrushweir.admission.Offer;
+import org.bulrushweir.affinity.ChatLocation;
 import org.bulrushweir.api.AttemptKey;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
@@ -199,6 +200,7 @@
     switch (envelope.getBodyCase()) {
       case DISPATCH, CANCEL, RESUME -> concernsAttempt(channel, envelope);
       case CHAT_MOVED -> moved(envelope.getChatMoved());
+      case CACHE_REQUEST -> cacheRequested(channel, envelope.getCacheRequest().getChat());
       case CACHE_TRANSFER -> cacheTransferred(envelope.getCacheTransfer());
       case DRAIN_REQUEST -> drain(channel);
       default -> {
@@ -250,6 +252,24 @@
         });
   }
 
+  private void cacheRequested(final PeerChannel channel, final long chat) {
+    final int tokens;
+    synchronized (attempts) {
+      tokens =
+          gate.location(chat)
+              .filter(location -> location.endpoint().equals(endpoint))
+              .map(ChatLocation::tokens)
+              .orElse(0);
+    }
+    if (tokens == 0) {
+      channel.send(
+          Envelope.newBuilder().setCacheTransfer(CacheTransfer.newBuilder().setChat(chat)));
+      return;
+    }
+    executor.exportCache(
+        chat, tokens, transfer -> channel.send(Envelope.newBuilder().setCacheTransfer(transfer)));
+  }
+
   /** Lets an attempt wait for the configuration under which its router has sent it. */
   private void dispatchWhenReady(
       final PeerChannel channel, final long configNumber, final Dispatch dispatch) {
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -104,7 +104,9 @@
             UNCONFIGURED,
             new ChatMemory(REMEMBERED_CHATS, nowMs),
             nowMs);
-    final RunExecutor executor = new RunExecutor(self, settings.service(), clock, engine, platform);
+    final RunExecutor executor =
+        new RunExecutor(
+            self, settings.service(), clock, engine, platform, new CacheFetcher(fleet, peers));
     final SidecarCore core =
         new SidecarCore(
             endpoint,
--- a/src/main/java/org/bulrushweir/trace/TraceProfile.java
+++ b/src/main/java/org/bulrushweir/trace/TraceProfile.java
@@ -87,6 +87,30 @@
         newCrest);
   }
 
+  /**
+   * Returns the same traffic of other organisations.
+   *
+   * @param names the organisations, the large ones first
+   * @param newLargeOrganisations how many of them are large
+   * @param newLargeShare the share of the traffic that the large ones have
+   * @return the profile
+   */
+  public TraceProfile withOrganisations(
+      final List<String> names, final int newLargeOrganisations, final double newLargeShare) {
+    return new TraceProfile(
+        names,
+        newLargeShare,
+        newLargeOrganisations,
+        durationMs,
+        chatsPerSecond,
+        turnsPerChat,
+        pauseMs,
+        classes,
+        stragglerShare,
+        stragglerFactor,
+        crest);
+  }
+
   /**
    * Returns the same traffic at another demand.
    *
--- a/src/test/java/org/bulrushweir/replay/Baselines.java
+++ b/src/test/java/org/bulrushweir/replay/Baselines.java
@@ -126,7 +126,9 @@
 
   private static List<EndpointView> withoutLoads(final List<EndpointView> views) {
     return views.stream()
-        .map(view -> new EndpointView(view.id(), view.key(), view.suspect(), 0, 0, 0))
+        .map(
+            view ->
+                new EndpointView(view.id(), view.key(), Long.MAX_VALUE, view.suspect(), 0, 0, 0))
         .toList();
   }
 
--- a/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
+++ b/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
@@ -5,16 +5,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
+import org.bulrushweir.testing.KnownRedExtension;
 import org.bulrushweir.trace.TraceProfile;
 import org.bulrushweir.trace.TraceRecord;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Holds the fleet's decisions to the targets of the brief's measures. */
+@ExtendWith(KnownRedExtension.class)
 class ReplayTargetTest {
 
   private static final double REUSE_TARGET = 0.95;
@@ -32,6 +37,11 @@
   private static final long CREST_START_MS = 60_000;
   private static final long CREST_MS = 30_000;
   private static final double CREST_FACTOR = 5;
+  private static final double OVERLOAD_FACTOR = 2;
+  private static final double SURGE_FACTOR = 5;
+  private static final long RAMP_MS = 5_000;
+  private static final long CHURN_EVERY_MS = 30_000;
+  private static final long CHURN_GAP_MS = 5_000;
   private static final double SLOW_FACTOR = 5;
   private static final long SLOW_EVERY_MS = 20_000;
   private static final long SLOW_MS = 4_000;
@@ -139,6 +149,96 @@
                 () -> "amplification " + result.amplification()));
   }
 
+  @ParameterizedTest
+  @EnumSource
+  void capacityIsUsedUnderOverload(final ReplayScenarios scenario) {
+    final TraceProfile profile = scenario.profile();
+    final TraceProfile overload =
+        profile
+            .withChatsPerSecond(OVERLOAD_FACTOR * profile.chatsPerSecond())
+            .withCrest(new TraceProfile.Crest(CREST_START_MS, CREST_MS, CREST_FACTOR));
+    final ReplayResult result = run(scenario, scenario.trace(overload));
+    final long startMs = CREST_START_MS + RAMP_MS;
+    final long endMs = CREST_START_MS + CREST_MS;
+    final long slots = (long) scenario.options().service().slots() * scenario.engines();
+    final double goodput =
+        result.usefulSlotMs(startMs, endMs) / (double) (slots * (endMs - startMs));
+    final double inTime = 1 - result.late() / (double) result.ran();
+    final long refusalMs = result.refusalTime().getValueAtPercentile(99);
+    System.out.printf(
+        "%s: overloaded: goodput %.3f of capacity, %.4f in time, %d of %d refused, told within"
+            + " %d ms, %d unknown, %.3f attempts a request%n",
+        scenario,
+        goodput,
+        inTime,
+        result.notRun(),
+        result.requests(),
+        refusalMs,
+        result.unknown(),
+        result.amplification());
+    assertAll(
+        () -> assertTrue(goodput >= GOODPUT_TARGET, () -> "goodput " + goodput),
+        () -> assertTrue(inTime >= IN_TIME_TARGET, () -> "in time " + inTime),
+        () -> assertTrue(refusalMs <= REFUSAL_TARGET_MS, () -> "told after " + refusalMs),
+        () ->
+            assertTrue(
+                result.amplification() <= AMPLIFICATION_TARGET,
+                () -> "amplification " + result.amplification()));
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void surgeOfOneOrganisationLeavesTheOthersAlone(final ReplayScenarios scenario) {
+    final List<TraceRecord> usual = scenario.trace();
+    final String surging = scenario.profile().organisations().getFirst();
+    final TraceProfile alone =
+        scenario
+            .profile()
+            .withChatsPerSecond(SURGE_FACTOR * scenario.profile().chatsPerSecond())
+            .withOrganisations(List.of(surging, surging), 1, 1);
+    final List<TraceRecord> surge =
+        scenario.trace(alone).stream()
+            .filter(
+                entry ->
+                    entry.timeMs() >= CREST_START_MS && entry.timeMs() < CREST_START_MS + CREST_MS)
+            .toList();
+    final ReplayResult calm = run(scenario, usual);
+    final ReplayResult surged = run(scenario, ReplayScenarios.with(usual, surge));
+    final double calmMs = bystanderFirstToken(calm, surging);
+    final double surgedMs = bystanderFirstToken(surged, surging);
+    System.out.printf(
+        "%s: p95 first token of the others %.0f ms, %.0f ms while %s surges; %d of %d refused%n",
+        scenario, calmMs, surgedMs, surging, surged.notRun(), surged.requests());
+    assertTrue(surgedMs <= BYSTANDER_TARGET * calmMs, () -> surgedMs + " against " + calmMs);
+  }
+
+  private static double bystanderFirstToken(final ReplayResult result, final String surging) {
+    final Map<String, Histogram> others = new TreeMap<>(result.firstTokenByOrganisation());
+    others.remove(surging);
+    return ReplayResult.merged(others).getValueAtPercentile(95);
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void cachesAreReusedWhileEnginesChurn(final ReplayScenarios scenario) {
+    final List<TraceRecord> churn = new ArrayList<>();
+    int number = 1;
+    for (long timeMs = CHURN_EVERY_MS;
+        timeMs < scenario.profile().durationMs();
+        timeMs += CHURN_EVERY_MS) {
+      churn.add(new TraceRecord.EndpointLeft(timeMs, "engine-" + number, true));
+      churn.add(
+          new TraceRecord.EndpointJoined(
+              timeMs + CHURN_GAP_MS, "engine-" + (scenario.engines() + number)));
+      number++;
+    }
+    final ReplayResult result = run(scenario, ReplayScenarios.with(scenario.trace(), churn));
+    System.out.printf(
+        "%s: reuse %.3f while %d engines are replaced%n",
+        scenario, result.reuse(), churn.size() / 2);
+    assertTrue(result.reuse() >= REUSE_TARGET, () -> "reuse " + result.reuse());
+  }
+
   @ParameterizedTest
   @EnumSource
   void shortWorkIsNotHeldUpByLongWork(final ReplayScenarios scenario) {
--- /dev/null
+++ b/src/test/java/org/bulrushweir/testing/package-info.java
@@ -0,0 +1,2 @@
+/** What tests of all packages share. */
+package org.bulrushweir.testing;
