--- a/src/main/java/org/bulrushweir/membership/EndpointTable.java
+++ b/src/main/java/org/bulrushweir/membership/EndpointTable.java
@@ -286,17 +286,23 @@
    * Sums up the endpoints of a service that take work and were heard of lately.
    *
    * @param service the service
+   * @param self the key of the asking endpoint
    * @param known how many endpoints the service has, heard of or only listed
    * @param nowMs the current time
    * @return the statistics
    */
-  public PoolStatistics statistics(final ServiceName service, final int known, final long nowMs) {
+  public PoolStatistics statistics(
+      final ServiceName service, final long self, final int known, final long nowMs) {
     final List<EndpointEntry> members = members(service, nowMs);
     double sum = 0;
+    long leastOfOthers = Long.MAX_VALUE;
     int paces = 0;
     final int[] sorted = new int[members.size()];
     for (final EndpointEntry member : members) {
       sum += member.report().load();
+      if (member.report().key() != self) {
+        leastOfOthers = Math.min(leastOfOthers, member.report().load());
+      }
       if (member.report().paceMicros() > 0) {
         sorted[paces] = member.report().paceMicros();
         paces++;
@@ -305,7 +311,11 @@
     Arrays.sort(sorted, 0, paces);
     final int median = paces == 0 ? 0 : sorted[paces / 2];
     return new PoolStatistics(
-        known, members.size(), members.isEmpty() ? 0 : sum / members.size(), median);
+        known,
+        members.size(),
+        members.isEmpty() ? 0 : sum / members.size(),
+        leastOfOthers == Long.MAX_VALUE ? 0 : leastOfOthers,
+        median);
   }
 
   private List<EndpointEntry> members(final ServiceName service, final long nowMs) {
--- a/src/main/java/org/bulrushweir/membership/LoadCeiling.java
+++ b/src/main/java/org/bulrushweir/membership/LoadCeiling.java
@@ -57,13 +57,16 @@
   }
 
   /**
-   * Computes the ceiling. Work beyond it is refused.
+   * Computes the ceiling. Work beyond it is refused. Whoever carries the least takes work in any
+   * case: it carries no more than the mean, and otherwise a pool whose members all carry the same
+   * would take nothing.
    *
    * @param loadMultiple the declared multiple of the mean
    * @param statistics the pool, with the endpoint itself
    * @return the ceiling, in work units
    */
   public double allowedLoad(final double loadMultiple, final PoolStatistics statistics) {
-    return ENFORCED_SHARE * loadMultiple * statistics.meanLoad() * weight;
+    final double share = ENFORCED_SHARE * loadMultiple * statistics.meanLoad();
+    return weight * Math.max(share, statistics.leastLoadOfOthers());
   }
 }
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -274,11 +274,13 @@
    * Sums up the endpoints of a service.
    *
    * @param service the service
+   * @param self the asking endpoint
    * @return the statistics
    */
-  public PoolStatistics statistics(final ServiceName service) {
+  public PoolStatistics statistics(final ServiceName service, final EndpointId self) {
     synchronized (table) {
-      return table.statistics(service, known(service).size(), clock.nowMs());
+      return table.statistics(
+          service, EndpointTable.key(self), known(service).size(), clock.nowMs());
     }
   }
 
--- a/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
+++ b/src/main/java/org/bulrushweir/replay/ReplayEndpoint.java
@@ -241,7 +241,10 @@
     final PoolStatistics pool =
         table()
             .statistics(
-                replay().options().service().name(), replay().laggingList().size(), nowMs());
+                replay().options().service().name(),
+                EndpointTable.key(id()),
+                replay().laggingList().size(),
+                nowMs());
     switch (gate.offer(offer(message), pool)) {
       case AdmissionDecision.Refused refused ->
           message.request().refused(message.key().attempt(), refused, report());
--- a/src/main/java/org/bulrushweir/routing/ChatCandidates.java
+++ b/src/main/java/org/bulrushweir/routing/ChatCandidates.java
@@ -14,11 +14,14 @@
  */
 public final class ChatCandidates implements CandidateSource {
 
+  /** How many endpoints are proposed before any is proposed again. */
+  private static final int FIRST_PASS = 7;
+
   /**
-   * After how many proposals endpoints are proposed again. By then the reports of those that have
-   * refused are fresh, so that the one that carries the least knows that it does.
+   * How often endpoints are proposed again. By then the reports of those that have refused are
+   * fresh, so that the one that carries the least knows that it does.
    */
-  private static final int FIRST_PASS = 7;
+  private static final int SECOND_PASS = 2;
 
   /** The chat's hash. */
   private final long chat;
@@ -29,8 +32,11 @@
   /** Tells what is known of the endpoints. */
   private final Supplier<List<EndpointView>> views;
 
-  /** How many endpoints were proposed. */
-  private int proposals;
+  /** How many endpoints were proposed for the first time. */
+  private int firstProposals;
+
+  /** How many endpoints were proposed again. */
+  private int secondProposals;
 
   /**
    * Creates the source.
@@ -54,10 +60,23 @@
         affinity
             ? EndpointRanking.forChat(chat, movedTo == null ? hint : movedTo, now)
             : EndpointRanking.byLoad(chat, now);
-    proposals++;
-    return order.stream()
-        .filter(endpoint -> proposals > FIRST_PASS || !tried.contains(endpoint))
-        .findFirst();
+    if (firstProposals < FIRST_PASS) {
+      final Optional<EndpointId> untried =
+          order.stream().filter(endpoint -> !tried.contains(endpoint)).findFirst();
+      if (untried.isPresent()) {
+        firstProposals++;
+        return untried;
+      }
+    }
+    return again(order);
+  }
+
+  private Optional<EndpointId> again(final List<EndpointId> order) {
+    if (secondProposals >= SECOND_PASS) {
+      return Optional.empty();
+    }
+    secondProposals++;
+    return order.stream().findFirst();
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
+++ b/src/main/java/org/bulrushweir/sidecar/AttemptManager.java
@@ -124,7 +124,7 @@
       return;
     }
     report();
-    switch (gate.offer(offer, fleet.statistics(serviceName))) {
+    switch (gate.offer(offer, fleet.statistics(serviceName, endpoint))) {
       case AdmissionDecision.Refused refused ->
           refuse(
               channel,
--- /dev/null
+++ b/src/test/java/org/bulrushweir/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what endpoints accept. */
+package org.bulrushweir.admission;
--- a/src/test/java/org/bulrushweir/process/WholePathProcessTest.java
+++ b/src/test/java/org/bulrushweir/process/WholePathProcessTest.java
@@ -30,8 +30,8 @@
   @BeforeAll
   static void startFleet() throws Exception {
     fleet = new Fleet(directory);
-    fleet.startEngine("engine-1", "assistant", "spec-7b");
-    fleet.startEngine("engine-2", "assistant", "spec-7b");
+    fleet.startEngine("engine-1");
+    fleet.startEngine("engine-2");
     fleet.startService("orders-1", "orders");
     fleet.startRouter("router-1");
     fleet.startRouter("router-2");
@@ -99,7 +99,9 @@
     assertEquals(first.join().body(), second.join().body());
     final JsonNode runs =
         mapper.readTree(
-            fleet.send(HttpRequest.newBuilder(fleet.uri("orders-1", "/control/runs"))).body());
+            fleet
+                .send(HttpRequest.newBuilder(fleet.uri("orders-1-service", "/control/runs")))
+                .body());
     assertEquals(1, runs.get("pallet-1").asInt());
   }
 
--- a/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
+++ b/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 import org.bulrushweir.testing.KnownRedExtension;
+import org.bulrushweir.trace.TraceGenerator;
 import org.bulrushweir.trace.TraceProfile;
 import org.bulrushweir.trace.TraceRecord;
 import org.junit.jupiter.api.extension.ExtendWith;
@@ -39,6 +40,10 @@
   private static final double CREST_FACTOR = 5;
   private static final double OVERLOAD_FACTOR = 2;
   private static final double SURGE_FACTOR = 5;
+  private static final long SURGE_SEEDS = 6;
+  private static final long SURGE_SEED_OFFSET = 100;
+  private static final long MAXIMUM_MS = 3_600_000;
+  private static final int DIGITS = 3;
   private static final long RAMP_MS = 5_000;
   private static final long CHURN_EVERY_MS = 30_000;
   private static final long CHURN_GAP_MS = 5_000;
@@ -189,33 +194,38 @@
   @ParameterizedTest
   @EnumSource
   void surgeOfOneOrganisationLeavesTheOthersAlone(final ReplayScenarios scenario) {
-    final List<TraceRecord> usual = scenario.trace();
     final String surging = scenario.profile().organisations().getFirst();
     final TraceProfile alone =
         scenario
             .profile()
             .withChatsPerSecond(SURGE_FACTOR * scenario.profile().chatsPerSecond())
             .withOrganisations(List.of(surging, surging), 1, 1);
-    final List<TraceRecord> surge =
-        scenario.trace(alone).stream()
-            .filter(
-                entry ->
-                    entry.timeMs() >= CREST_START_MS && entry.timeMs() < CREST_START_MS + CREST_MS)
-            .toList();
-    final ReplayResult calm = run(scenario, usual);
-    final ReplayResult surged = run(scenario, ReplayScenarios.with(usual, surge));
-    final double calmMs = bystanderFirstToken(calm, surging);
-    final double surgedMs = bystanderFirstToken(surged, surging);
+    final Histogram calm = new Histogram(MAXIMUM_MS, DIGITS);
+    final Histogram surged = new Histogram(MAXIMUM_MS, DIGITS);
+    for (long seed = 1; seed <= SURGE_SEEDS; seed++) {
+      final List<TraceRecord> usual = TraceGenerator.generate(scenario.profile(), seed);
+      final List<TraceRecord> surge =
+          TraceGenerator.generate(alone, SURGE_SEED_OFFSET + seed).stream()
+              .filter(
+                  entry ->
+                      entry.timeMs() >= CREST_START_MS
+                          && entry.timeMs() < CREST_START_MS + CREST_MS)
+              .toList();
+      calm.add(bystanderFirstToken(run(scenario, usual), surging));
+      surged.add(bystanderFirstToken(run(scenario, ReplayScenarios.with(usual, surge)), surging));
+    }
+    final double calmMs = calm.getValueAtPercentile(95);
+    final double surgedMs = surged.getValueAtPercentile(95);
     System.out.printf(
-        "%s: p95 first token of the others %.0f ms, %.0f ms while %s surges; %d of %d refused%n",
-        scenario, calmMs, surgedMs, surging, surged.notRun(), surged.requests());
+        "%s: p95 first token of the others %.0f ms, %.0f ms while %s surges%n",
+        scenario, calmMs, surgedMs, surging);
     assertTrue(surgedMs <= BYSTANDER_TARGET * calmMs, () -> surgedMs + " against " + calmMs);
   }
 
-  private static double bystanderFirstToken(final ReplayResult result, final String surging) {
+  private static Histogram bystanderFirstToken(final ReplayResult result, final String surging) {
     final Map<String, Histogram> others = new TreeMap<>(result.firstTokenByOrganisation());
     others.remove(surging);
-    return ReplayResult.merged(others).getValueAtPercentile(95);
+    return ReplayResult.merged(others);
   }
 
   @ParameterizedTest
--- /dev/null
+++ b/src/test/java/org/bulrushweir/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the choice of endpoints. */
+package org.bulrushweir.routing;
