Configurations and orders proved; texts are stored again, seeds are read

Faults found by the configuration tests: a submission gave up when the answer to storing the text was lost, although storing again does no harm (now four times); the settings' seeds were read after unknown keys were reported, so that any seed was a finding.

--- a/src/main/java/org/bulrushweir/configuration/SubmitMachine.java
+++ b/src/main/java/org/bulrushweir/configuration/SubmitMachine.java
@@ -12,6 +12,9 @@
   /** How long to wait after the platform did not answer, in milliseconds. */
   private static final long RETRY_INTERVAL_MS = 500;
 
+  /** How often the text is stored before the submission is given up. */
+  private static final int MAXIMUM_STORES = 4;
+
   /** How often a commit is repeated after its answer was lost. */
   private static final int MAXIMUM_COMMITS = 20;
 
@@ -27,6 +30,9 @@
   /** The commit under way, null before the head was read. */
   private SubmitAction.Commit commit;
 
+  /** How often storing the text has failed. */
+  private int stores;
+
   /** How many commits were sent. */
   private int commits;
 
@@ -102,10 +108,22 @@
     return new SubmitAction.Finish(new SubmitResult.Conflict(wanted - 1, wanted));
   }
 
+  /** Stores the text again, which does no harm, since nothing refers to it yet. */
+  private SubmitAction storeAgain(final String message) {
+    stores++;
+    if (stores >= MAXIMUM_STORES) {
+      return new SubmitAction.Finish(new SubmitResult.Unavailable(message));
+    }
+    return new SubmitAction.WaitThen(RETRY_INTERVAL_MS, new SubmitAction.StoreText(commit.head()));
+  }
+
   private SubmitAction failed(final SubmitEvent.Failed failed) {
-    if (commits == 0) {
+    if (commit == null) {
       return new SubmitAction.Finish(new SubmitResult.Unavailable(failed.message()));
     }
+    if (commits == 0) {
+      return storeAgain(failed.message());
+    }
     effectPossible |= failed.effectPossible();
     if (!effectPossible) {
       return new SubmitAction.Finish(new SubmitResult.Unavailable(failed.message()));
--- a/src/main/java/org/bulrushweir/settings/SettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/SettingsLoader.java
@@ -76,6 +76,7 @@
       service = name("service");
       endpointUrl = url(root.table("endpoint"), "url");
     }
+    final List<InetSocketAddress> seeds = seeds();
     root.finish();
     findings.throwIfAny();
     return new ProcessSettings(
@@ -87,7 +88,7 @@
         timeoutMs,
         vmPollMs,
         configPollMs,
-        seeds(),
+        seeds,
         format,
         level,
         sidecar ? new ServiceName(service) : null,
--- /dev/null
+++ b/src/test/java/org/bulrushweir/placement/OrderPropertyTest.java
@@ -0,0 +1,179 @@
+package org.bulrushweir.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.bulrushweir.api.ModelName;
+import org.bulrushweir.declaration.FencingPolicy;
+import org.bulrushweir.simulation.EventQueue;
+import org.junit.jupiter.api.Test;
+
+/** Proves that engines are not misled by holders that have been replaced. */
+class OrderPropertyTest {
+
+  private static final String SEED = "3131";
+  private static final int TRIES = 1_000;
+  private static final long END_MS = 300_000;
+  private static final long FREEZE_MS = 5_000;
+  private static final long SEEDS_WITHOUT_MECHANISM = 1_000;
+  private static final LoadedModel OLD_MODEL =
+      new LoadedModel(new ModelName("old"), "1", List.of());
+  private static final LoadedModel NEW_MODEL =
+      new LoadedModel(new ModelName("new"), "1", List.of());
+
+  /** An engine with a sidecar that is frozen now and then and one that replaces it. */
+  private static final class Engine {
+
+    private final EventQueue queue = new EventQueue(0);
+    private final List<Long> orders = new ArrayList<>();
+    private final List<LoadedModel> loaded = new ArrayList<>();
+    private final SplittableRandom random;
+    private final FencingPolicy policy;
+    private final boolean fenced;
+    private FenceRow fence = new FenceRow(0, 0);
+    private long seenByEngine;
+
+    private Engine(final long seed, final FencingPolicy policy, final boolean fenced) {
+      this.random = new SplittableRandom(seed);
+      this.policy = policy;
+      this.fenced = fenced;
+      schedule(holder(OLD_MODEL), 1, 0);
+      schedule(holder(NEW_MODEL), 2, random.nextInt(3_000));
+      queue.runUntil(END_MS);
+    }
+
+    private OrderMachine holder(final LoadedModel model) {
+      final OrderMachine machine = new OrderMachine(policy);
+      machine.plan(List.of(model), policy);
+      return machine;
+    }
+
+    private void schedule(final OrderMachine machine, final long incarnation, final long delayMs) {
+      queue.schedule(
+          delayMs,
+          () -> {
+            machine
+                .on(new OrderEvent.Tick(), queue.nowMs())
+                .ifPresent(action -> later(machine, incarnation, action));
+            schedule(machine, incarnation, 250);
+          });
+    }
+
+    /** Carries out an action, after a freeze perhaps, unless it follows right upon a check. */
+    private void later(
+        final OrderMachine machine, final long incarnation, final OrderAction action) {
+      final boolean rightAfterCheck =
+          action instanceof OrderAction.GiveOrder && policy == FencingPolicy.IGNORED;
+      final boolean frozen = !rightAfterCheck && random.nextInt(5) == 0;
+      queue.schedule(
+          frozen ? FREEZE_MS : rightAfterCheck ? 0 : 10,
+          () -> {
+            final Optional<OrderAction> next =
+                machine.on(carryOut(incarnation, action), queue.nowMs());
+            next.ifPresent(following -> later(machine, incarnation, following));
+          });
+    }
+
+    private OrderEvent carryOut(final long incarnation, final OrderAction action) {
+      return switch (action) {
+        case OrderAction.ReadEngine read -> new OrderEvent.EngineRead(List.copyOf(loaded));
+        case OrderAction.AcquireFence acquire -> acquire(incarnation);
+        case OrderAction.CheckFence check ->
+            !fenced || fence.number() == check.number()
+                ? new OrderEvent.FenceHeld(check.number())
+                : new OrderEvent.FenceLost();
+        case OrderAction.RequestPermit request -> new OrderEvent.PermitGranted();
+        case OrderAction.GiveOrder order -> give(order);
+      };
+    }
+
+    private OrderEvent acquire(final long incarnation) {
+      if (fence.incarnation() > incarnation) {
+        return new OrderEvent.FenceLost();
+      }
+      if (fence.incarnation() < incarnation) {
+        fence = new FenceRow(fence.number() + 1, incarnation);
+      }
+      return new OrderEvent.FenceHeld(fence.number());
+    }
+
+    private OrderEvent give(final OrderAction.GiveOrder order) {
+      final boolean checks = policy == FencingPolicy.CHECKED && fenced;
+      if (checks && order.number() < seenByEngine) {
+        return new OrderEvent.OrderRefused();
+      }
+      seenByEngine = Math.max(seenByEngine, order.number());
+      orders.add(order.number());
+      loaded.remove(order.model());
+      if (order.load()) {
+        loaded.add(order.model());
+      }
+      return new OrderEvent.OrderDone();
+    }
+
+    /** Tells whether no order of a replaced holder followed upon one of its successor. */
+    private boolean inOrder() {
+      for (int index = 1; index < orders.size(); index++) {
+        if (orders.get(index) < orders.get(index - 1)) {
+          return false;
+        }
+      }
+      return true;
+    }
+  }
+
+  @Property(tries = TRIES, seed = SEED)
+  void staleHoldersGiveNoOrders(
+      @ForAll @LongRange(min = 0) final long seed, @ForAll final FencingPolicy policy) {
+    assertTrue(new Engine(seed, policy, true).inOrder());
+  }
+
+  @Test
+  void withoutFencingStaleHoldersSometimesGiveOrders() {
+    for (final FencingPolicy policy : FencingPolicy.values()) {
+      assertTrue(
+          LongStream.range(0, SEEDS_WITHOUT_MECHANISM)
+              .anyMatch(seed -> !new Engine(seed, policy, false).inOrder()));
+    }
+  }
+
+  @Property(tries = TRIES, seed = SEED)
+  void engineEndsUpWithWhatIsPlanned(
+      @ForAll @LongRange(min = 0) final long seed, @ForAll final FencingPolicy policy) {
+    assertEquals(List.of(NEW_MODEL), new Engine(seed, policy, true).loaded);
+  }
+
+  @Property(tries = TRIES, seed = SEED)
+  void permitsNeverExceedTheRate(@ForAll @LongRange(min = 0) final long seed) {
+    final SplittableRandom random = new SplittableRandom(seed);
+    final double perMinute = 6;
+    final double burst = 3;
+    final List<Long> granted = new ArrayList<>();
+    PermitBucket bucket = new PermitBucket(burst, 0);
+    long platformMs = 0;
+    for (int count = 0; count < 500; count++) {
+      platformMs += random.nextInt(5_000);
+      final long readMs = Math.max(0, platformMs - random.nextInt(2_000));
+      final Optional<PermitBucket> taken = bucket.take(perMinute, burst, readMs);
+      if (taken.isPresent()) {
+        bucket = taken.get();
+        granted.add(platformMs);
+      }
+    }
+    for (int first = 0; first < granted.size(); first++) {
+      for (int last = first; last < granted.size(); last++) {
+        final double windowMs = granted.get(last) - granted.get(first);
+        final double allowed = burst + perMinute * (windowMs + 2_000) / 60_000;
+        assertTrue(last - first + 1 <= allowed + 1e-6);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of orders to engines. */
+package org.bulrushweir.placement;
