--- /dev/null
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -0,0 +1,241 @@
+package org.bulrushweir.balancing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
+
+/**
+ * Keeps the loads, caches and health of all endpoints, from this router's own requests and from the
+ * reports of its peers. Not safe for use by many threads.
+ */
+public final class EndpointBoard {
+
+  /**
+   * Which share of an engine's memory holds parts of prompts that are not in use: the running
+   * requests need the rest.
+   */
+  private static final double CACHE_SHARE = 0.8;
+
+  /** An engine's memory while the plan does not tell it, in tokens: that of a small engine. */
+  private static final long DEFAULT_MEMORY_TOKENS = 200_000;
+
+  private final Map<EndpointId, EndpointState> states = new HashMap<>();
+  private final Map<NodeId, ReportOrder> newest = new HashMap<>();
+  private final List<PeerReport.Placement> placements = new ArrayList<>();
+  private final EndpointDirectory directory;
+  private final MemorySize memorySize;
+  private long seenChanges = -1;
+
+  /**
+   * Creates a board.
+   *
+   * @param directory lists the endpoints
+   * @param memorySize tells how many tokens the engines of a service keep
+   */
+  public EndpointBoard(final EndpointDirectory directory, final MemorySize memorySize) {
+    this.directory = directory;
+    this.memorySize = memorySize;
+  }
+
+  /** Tells how many tokens the engines of a service keep. */
+  @FunctionalInterface
+  public interface MemorySize {
+
+    /**
+     * Returns the size.
+     *
+     * @param service the service
+     * @return the size in tokens, zero if it is unknown
+     */
+    long tokens(ServiceName service);
+  }
+
+  /** Takes over what has changed in the directory. */
+  private void refresh() {
+    if (seenChanges == directory.changes()) {
+      return;
+    }
+    seenChanges = directory.changes();
+    final Set<EndpointId> listed = new HashSet<>();
+    for (final EndpointRecord entry : directory.all()) {
+      listed.add(entry.id());
+      final EndpointState known = states.get(entry.id());
+      if (known == null) {
+        states.put(entry.id(), new EndpointState(entry, cacheTokens(entry.service())));
+      } else {
+        known.update(entry);
+      }
+    }
+    states.values().removeIf(state -> !listed.contains(state.entry().id()) && isUnused(state));
+  }
+
+  private static boolean isUnused(final EndpointState state) {
+    return state.ownInFlight() == 0;
+  }
+
+  private long cacheTokens(final ServiceName service) {
+    final long memory = memorySize.tokens(service);
+    return (long) (CACHE_SHARE * (memory == 0 ? DEFAULT_MEMORY_TOKENS : memory));
+  }
+
+  /**
+   * Lists the states of the endpoints of a service that take new work.
+   *
+   * @param service the service
+   * @return the states
+   */
+  List<EndpointState> candidates(final ServiceName service) {
+    refresh();
+    final List<EndpointState> candidates = new ArrayList<>();
+    for (final EndpointRecord entry : directory.endpoints(service)) {
+      if (!entry.draining()) {
+        candidates.add(states.get(entry.id()));
+      }
+    }
+    return candidates;
+  }
+
+  /**
+   * Notes that a request is sent.
+   *
+   * @param endpoint where it goes
+   * @param prompt its prompt, empty if it has none
+   * @return how many prompt tokens the endpoint has to read
+   */
+  public long sent(final EndpointId endpoint, final List<PromptPart> prompt) {
+    refresh();
+    final EndpointState state = states.get(endpoint);
+    if (state == null) {
+      return 0;
+    }
+    final long total = prompt.stream().mapToLong(PromptPart::tokens).sum();
+    final long pending = total - state.prefixes().cachedTokens(prompt);
+    state.add(1, pending);
+    if (!prompt.isEmpty()) {
+      state.prefixes().read(prompt);
+      placements.add(
+          new PeerReport.Placement(endpoint, List.copyOf(prompt.subList(0, prompt.size() - 1))));
+    }
+    return pending;
+  }
+
+  /**
+   * Notes that an endpoint has read a prompt and begun to answer.
+   *
+   * @param endpoint the endpoint
+   * @param pendingTokens what {@link #sent} returned
+   */
+  public void promptRead(final EndpointId endpoint, final long pendingTokens) {
+    final EndpointState state = states.get(endpoint);
+    if (state != null) {
+      state.add(0, -pendingTokens);
+    }
+  }
+
+  /**
+   * Notes that a request has left an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param outcome what became of it
+   * @param nowMs the current time
+   */
+  public void left(final EndpointId endpoint, final AttemptOutcome outcome, final long nowMs) {
+    final EndpointState state = states.get(endpoint);
+    if (state == null) {
+      return;
+    }
+    state.add(-1, 0);
+    if (outcome == AttemptOutcome.ANSWERED) {
+      state.health().succeeded();
+    } else if (outcome == AttemptOutcome.FAILED) {
+      state.health().failed(nowMs);
+    } else if (outcome == AttemptOutcome.UNREACHABLE) {
+      state.health().unreachable(nowMs);
+    }
+  }
+
+  /**
+   * Takes a peer's report.
+   *
+   * @param report the report
+   * @param nowMs the current time
+   * @return false if a newer one of the same peer has come before
+   */
+  public boolean peerReported(final PeerReport report, final long nowMs) {
+    final ReportOrder order = new ReportOrder(report.incarnation(), report.sequence());
+    final ReportOrder before = newest.get(report.node());
+    if (before != null && !order.newerThan(before)) {
+      return false;
+    }
+    newest.put(report.node(), order);
+    refresh();
+    states.forEach((id, state) -> state.peerLoad(report.node(), report.loads().get(id), nowMs));
+    for (final PeerReport.Placement placement : report.placements()) {
+      final EndpointState state = states.get(placement.endpoint());
+      if (state != null) {
+        state.prefixes().read(placement.sharedParts());
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns what this router has at each endpoint.
+   *
+   * @return the loads of the endpoints where it has anything
+   */
+  public Map<EndpointId, PeerLoad> ownLoads() {
+    final Map<EndpointId, PeerLoad> loads = new HashMap<>();
+    states.forEach(
+        (id, state) -> {
+          if (state.ownInFlight() > 0) {
+            loads.put(id, new PeerLoad(state.ownInFlight(), state.ownPendingTokens()));
+          }
+        });
+    return loads;
+  }
+
+  /**
+   * Returns the placements since the last call, and forgets them.
+   *
+   * @return where prompts were sent
+   */
+  public List<PeerReport.Placement> takePlacements() {
+    final List<PeerReport.Placement> taken = List.copyOf(placements);
+    placements.clear();
+    return taken;
+  }
+
+  /**
+   * Describes an endpoint's load, for logs.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the current time
+   * @return requests in flight of all routers, negative if the endpoint is not known
+   */
+  public int inFlight(final EndpointId endpoint, final long nowMs) {
+    final EndpointState state = states.get(endpoint);
+    return state == null ? -1 : state.inFlight(nowMs);
+  }
+
+  /**
+   * Orders the reports of a peer. Incarnations can't be ordered, as the time of day may jump: any
+   * other one counts as newer.
+   *
+   * @param incarnation tells the lives of its process apart
+   * @param sequence the report's number
+   */
+  private record ReportOrder(long incarnation, long sequence) {
+    boolean newerThan(final ReportOrder other) {
+      return incarnation != other.incarnation || sequence > other.sequence;
+    }
+  }
+}
--- a/src/main/java/org/bulrushweir/command/ConfigSpread.java
+++ b/src/main/java/org/bulrushweir/command/ConfigSpread.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.bulrushweir.configuration.ConfigMachine;
-import org.bulrushweir.platform.Vm;
+import org.bulrushweir.store.Vm;
 import org.bulrushweir.wire.generated.ConfigText;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.StatusRequest;
--- a/src/main/java/org/bulrushweir/command/Main.java
+++ b/src/main/java/org/bulrushweir/command/Main.java
@@ -19,6 +19,7 @@
             List.of(
                 ProcessCommand.router(),
                 ProcessCommand.sidecar(),
+                new GatewayCommand(),
                 new CheckCommand(),
                 new SubmitCommand(),
                 new ShowCommand(),
--- a/src/main/java/org/bulrushweir/command/PeerQuery.java
+++ b/src/main/java/org/bulrushweir/command/PeerQuery.java
@@ -11,7 +11,7 @@
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.kernel.SystemClock;
-import org.bulrushweir.platform.Vm;
+import org.bulrushweir.store.Vm;
 import org.bulrushweir.timeline.HybridClock;
 import org.bulrushweir.wire.EnvelopeStamp;
 import org.bulrushweir.wire.PeerChannel;
--- a/src/main/java/org/bulrushweir/command/PlatformOption.java
+++ b/src/main/java/org/bulrushweir/command/PlatformOption.java
@@ -7,7 +7,7 @@
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import org.bulrushweir.platform.HttpPlatformStore;
-import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.store.PlatformStore;
 
 /** The option of operators' commands that names the platform. */
 final class PlatformOption {
--- a/src/main/java/org/bulrushweir/command/ShowCommand.java
+++ b/src/main/java/org/bulrushweir/command/ShowCommand.java
@@ -7,8 +7,8 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.bulrushweir.configuration.ConfigHead;
-import org.bulrushweir.platform.PlatformStore;
-import org.bulrushweir.platform.Row;
+import org.bulrushweir.store.PlatformStore;
+import org.bulrushweir.store.Row;
 
 /** Shows the text that was accepted last, ready to be edited and submitted again. */
 final class ShowCommand implements Command {
--- a/src/main/java/org/bulrushweir/command/StatusCommand.java
+++ b/src/main/java/org/bulrushweir/command/StatusCommand.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
-import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.store.PlatformStore;
 import org.bulrushweir.wire.generated.Envelope;
 import org.bulrushweir.wire.generated.StatusReport;
 import org.bulrushweir.wire.generated.StatusRequest;
--- a/src/main/java/org/bulrushweir/command/Submission.java
+++ b/src/main/java/org/bulrushweir/command/Submission.java
@@ -13,13 +13,13 @@
 import org.bulrushweir.configuration.SubmitEvent;
 import org.bulrushweir.configuration.SubmitMachine;
 import org.bulrushweir.configuration.SubmitResult;
-import org.bulrushweir.platform.CommitResult;
-import org.bulrushweir.platform.Condition;
-import org.bulrushweir.platform.PlatformException;
-import org.bulrushweir.platform.PlatformStore;
-import org.bulrushweir.platform.Row;
-import org.bulrushweir.platform.Transaction;
-import org.bulrushweir.platform.Write;
+import org.bulrushweir.store.CommitResult;
+import org.bulrushweir.store.Condition;
+import org.bulrushweir.store.PlatformException;
+import org.bulrushweir.store.PlatformStore;
+import org.bulrushweir.store.Row;
+import org.bulrushweir.store.Transaction;
+import org.bulrushweir.store.Write;
 
 /** Carries out what the machine of a submission decides. */
 final class Submission {
--- a/src/main/java/org/bulrushweir/command/SubmitCommand.java
+++ b/src/main/java/org/bulrushweir/command/SubmitCommand.java
@@ -10,7 +10,7 @@
 import org.bulrushweir.configuration.SubmitResult;
 import org.bulrushweir.declaration.Declaration;
 import org.bulrushweir.declaration.DeclarationLoader;
-import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.store.PlatformStore;
 
 /** Submits an operators' text. */
 final class SubmitCommand implements Command {
--- a/src/main/java/org/bulrushweir/command/TimelineCommand.java
+++ b/src/main/java/org/bulrushweir/command/TimelineCommand.java
@@ -11,7 +11,7 @@
 import org.bulrushweir.api.ConfigNumber;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.RequestId;
-import org.bulrushweir.platform.PlatformStore;
+import org.bulrushweir.store.PlatformStore;
 import org.bulrushweir.timeline.EventMessages;
 import org.bulrushweir.timeline.EventSubject;
 import org.bulrushweir.timeline.HybridClock;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -0,0 +1,91 @@
+package org.bulrushweir.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.Identifiers;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.platform.EndpointDecoder;
+import org.bulrushweir.store.RowChange;
+
+/** Keeps the directory of endpoints as the store tells it. */
+final class EndpointListener implements TableListener {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final EndpointDecoder decoder = new EndpointDecoder();
+  private final EndpointDirectory directory;
+  private final Clock clock;
+
+  /**
+   * Creates the listener.
+   *
+   * @param directory the directory
+   * @param clock the clock
+   */
+  EndpointListener(final EndpointDirectory directory, final Clock clock) {
+    this.directory = directory;
+    this.clock = clock;
+  }
+
+  @Override
+  public void replaced(final List<RowChange> rows) {
+    final List<EndpointRecord> entries = new ArrayList<>();
+    rows.forEach(row -> decode(row).ifPresent(entries::add));
+    directory.replaceAll(entries, clock.nowMs());
+    logger.atInfo().log("endpoints read: %d", entries.size());
+  }
+
+  @Override
+  public void changed(final List<RowChange> rows) {
+    rows.forEach(this::change);
+  }
+
+  private void change(final RowChange row) {
+    final Optional<EndpointRecord> entry = decode(row);
+    if (entry.isPresent()) {
+      directory.put(entry.get());
+      logger.atInfo().log(
+          "endpoint %s of %s at version %d: %s",
+          row.key(),
+          entry.get().service(),
+          row.version(),
+          entry.get().draining() ? "draining" : "takes work");
+      return;
+    }
+    if (Identifiers.isValid(row.key())) {
+      directory.remove(new EndpointId(row.key()), clock.nowMs());
+      logger.atInfo().log(
+          "endpoint %s at version %d: %s",
+          row.key(), row.version(), row.value().isPresent() ? "can't be read" : "gone");
+    }
+  }
+
+  private Optional<EndpointRecord> decode(final RowChange row) {
+    if (row.value().isEmpty()) {
+      return Optional.empty();
+    }
+    final FindingCollector findings = new FindingCollector();
+    final Optional<EndpointRecord> entry = decoder.decode(row.key(), row.value().get(), findings);
+    findings.findings().forEach(finding -> logger.atFine().log("%s", finding));
+    return entry;
+  }
+
+  @Override
+  public void confirmed() {
+    directory.storeRegained(clock.nowMs());
+    directory
+        .expire(clock.nowMs())
+        .forEach(id -> logger.atInfo().log("endpoint %s: gone, its registration lapsed", id));
+  }
+
+  @Override
+  public void lost() {
+    directory.storeLost();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/FeedTimes.java
@@ -0,0 +1,20 @@
+package org.bulrushweir.gateway;
+
+/**
+ * The times of following the store. A connection that has gone silent shows only when a poll is not
+ * answered in time; wait and time-out together must stay below the time within which configurations
+ * are in force.
+ */
+final class FeedTimes {
+
+  /** How long the store waits for a change before it answers, in milliseconds. */
+  static final long WAIT_MS = 1_400;
+
+  /** The pause before the first new try, in milliseconds. */
+  static final long FIRST_RETRY_MS = 100;
+
+  /** The longest pause between tries, in milliseconds: the store's return is noticed within. */
+  static final long LONGEST_RETRY_MS = 800;
+
+  private FeedTimes() {}
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -0,0 +1,357 @@
+package org.bulrushweir.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.balancing.EndpointBoard;
+import org.bulrushweir.balancing.EndpointSelector;
+import org.bulrushweir.balancing.RepeatAllowance;
+import org.bulrushweir.catalog.CallerLimits;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.catalog.PlanHolder;
+import org.bulrushweir.catalog.RequestKind;
+import org.bulrushweir.catalog.Route;
+import org.bulrushweir.catalog.RoutingPlan;
+import org.bulrushweir.catalog.Tenant;
+import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.platform.RequestTranslator;
+import org.bulrushweir.relay.RelayLimits;
+import org.bulrushweir.relay.RequestHead;
+import org.bulrushweir.routing.BitMixer;
+
+/** Takes callers' requests and starts their exchanges; used on the event loop only. */
+final class GatewayCore {
+
+  /** The least and the greatest advice to come again, in milliseconds: seconds of a change. */
+  private static final long MIN_RETRY_AFTER_MS = 200;
+
+  private static final long MAX_RETRY_AFTER_MS = 600;
+
+  /** The least silence after which a repeatable call goes elsewhere, in milliseconds. */
+  private static final long MIN_CALL_SILENCE_MS = 400;
+
+  /** How many targets a repeatable call may be silent for. */
+  private static final long CALL_SILENCE_TARGETS = 3;
+
+  /** How many targets a stream may be silent for before its first event. */
+  private static final long STREAM_SILENCE_TARGETS = 2;
+
+  /** How long a stream may be silent between events, in milliseconds; callers leave after 2 s. */
+  private static final long EVENT_SILENCE_MS = 1_000;
+
+  private final Set<CallerHandler> connections = new HashSet<>();
+  private final NodeId node;
+  private final Clock clock;
+  private final EventLoop loop;
+  private final PlanHolder plans;
+  private final EndpointDirectory directory;
+  private final EndpointBoard board;
+  private final EndpointSelector selector;
+  private final RepeatAllowance allowance;
+  private final ConnectionPool pool;
+  private final GatewayMetrics metrics;
+  private final AsyncLogWriter log;
+  private boolean draining;
+  private int inFlight;
+  private long lastConnectionMs;
+
+  /**
+   * Creates the core.
+   *
+   * @param node the process's id
+   * @param clock the clock
+   * @param loop the event loop
+   * @param plans holds the plan in force
+   * @param directory lists the endpoints
+   * @param board what is known of the endpoints
+   * @param selector chooses endpoints
+   * @param allowance bounds repeats
+   * @param pool keeps connections to endpoints
+   * @param metrics the metrics
+   * @param log takes a line for each decision
+   */
+  GatewayCore(
+      final NodeId node,
+      final Clock clock,
+      final EventLoop loop,
+      final PlanHolder plans,
+      final EndpointDirectory directory,
+      final EndpointBoard board,
+      final EndpointSelector selector,
+      final RepeatAllowance allowance,
+      final ConnectionPool pool,
+      final GatewayMetrics metrics,
+      final AsyncLogWriter log) {
+    this.node = node;
+    this.clock = clock;
+    this.loop = loop;
+    this.plans = plans;
+    this.directory = directory;
+    this.board = board;
+    this.selector = selector;
+    this.allowance = allowance;
+    this.pool = pool;
+    this.metrics = metrics;
+    this.log = log;
+  }
+
+  long nowMs() {
+    return clock.nowMs();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  EndpointBoard board() {
+    return board;
+  }
+
+  ConnectionPool pool() {
+    return pool;
+  }
+
+  CallerLimits limits() {
+    return plans.inForce().map(RoutingPlan::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  /**
+   * Tells whether this process takes new work.
+   *
+   * @return false before the first plan and from the stop on
+   */
+  boolean isReady() {
+    return !draining && plans.inForce().isPresent();
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  void drain() {
+    draining = true;
+  }
+
+  /** Closes the connections of callers that are not within a request. */
+  void closeIdle() {
+    List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  long lastConnectionMs() {
+    return lastConnectionMs;
+  }
+
+  void opened(final CallerHandler connection) {
+    lastConnectionMs = clock.nowMs();
+    connections.add(connection);
+  }
+
+  void closed(final CallerHandler connection) {
+    connections.remove(connection);
+  }
+
+  /**
+   * Serves a request that was read whole.
+   *
+   * @param caller where the answer goes
+   * @param request the request
+   * @param body its body
+   * @return the exchange, null if the request was refused
+   */
+  Exchange serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+    final Optional<RequestHead> head = RequestTranslator.head(request);
+    if (head.isEmpty()) {
+      return refuse(caller, "", HttpResponseStatus.BAD_REQUEST, "the head is not proper");
+    }
+    final String id = head.get().id();
+    if (plans.inForce().isEmpty()) {
+      return refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no plan is known");
+    }
+    final RoutingPlan plan = plans.inForce().get();
+    final Optional<Route> route = plan.route(head.get().host(), head.get().path());
+    if (route.isEmpty()) {
+      return refuse(caller, id, unlessBehind(HttpResponseStatus.NOT_FOUND), "no route");
+    }
+    final Optional<Tenant> tenant = head.get().key().flatMap(plan::tenant);
+    if (!route.get().open() && plan.needsKeys() && tenant.isEmpty()) {
+      return refuse(caller, id, unlessBehind(HttpResponseStatus.UNAUTHORIZED), "no valid key");
+    }
+    final ExchangeOrder order = order(plan, head.get(), route.get(), tenant);
+    allowance.requested(order.service(), clock.nowMs());
+    inFlight++;
+    final Exchange exchange = new Exchange(this, caller, order, request, body);
+    exchange.start();
+    return exchange;
+  }
+
+  /** Chooses a status that promises nothing for good while newer plans may have passed by. */
+  private HttpResponseStatus unlessBehind(final HttpResponseStatus status) {
+    return plans.isConfirmed(clock.nowMs()) ? status : HttpResponseStatus.SERVICE_UNAVAILABLE;
+  }
+
+  private ExchangeOrder order(
+      final RoutingPlan plan,
+      final RequestHead head,
+      final Route route,
+      final Optional<Tenant> tenant) {
+    final long nowMs = clock.nowMs();
+    final long patienceMs =
+        Math.min(route.timeoutMs(), head.deadlineMs().orElse(route.timeoutMs()));
+    final boolean stream = route.kind() == RequestKind.STREAM;
+    final long callSilenceMs =
+        Math.max(MIN_CALL_SILENCE_MS, CALL_SILENCE_TARGETS * route.targetMs());
+    final RelayLimits limits =
+        new RelayLimits(
+            route.repeatable(),
+            stream && route.resumable(),
+            route.maxAttempts(),
+            nowMs + patienceMs,
+            stream ? STREAM_SILENCE_TARGETS * route.targetMs() : callSilenceMs,
+            stream ? EVENT_SILENCE_MS : callSilenceMs);
+    final int routePriority = route.priority();
+    return new ExchangeOrder(
+        head,
+        route,
+        route.serviceFor(BitMixer.mix(head.id().hashCode())),
+        tenant.map(Tenant::organisation),
+        tenant.map(holder -> holder.priority().orElse(routePriority)).orElse(routePriority),
+        limits,
+        nowMs,
+        plan.version());
+  }
+
+  private Exchange refuse(
+      final CallerConnection caller,
+      final String id,
+      final HttpResponseStatus status,
+      final String detail) {
+    final boolean promised = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    metrics.refused("none", Integer.toString(status.code()));
+    log.offer(line("refused", id, "", "", 0, 0, -1, 0, Integer.toString(status.code()), detail));
+    caller.refuse(status, promised ? spreadRetryAfterMs() : 0);
+    return null;
+  }
+
+  private static long spreadRetryAfterMs() {
+    return ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+  }
+
+  void refusedUnread(final int status) {
+    metrics.refused("none", Integer.toString(status));
+    log.offer(line("refused", "", "", "", 0, 0, -1, 0, Integer.toString(status), "unread"));
+  }
+
+  void callerFailed(final Throwable cause) {
+    log.offer(line("caller_failed", "", "", "", 0, 0, -1, 0, "closed", cause.toString()));
+  }
+
+  Optional<EndpointId> choose(
+      final ExchangeOrder order, final Set<EndpointId> excluded, final long nowMs) {
+    return selector.choose(
+        order.service(),
+        order.head().prompt(),
+        BitMixer.mix(order.head().id().hashCode()),
+        excluded,
+        nowMs);
+  }
+
+  boolean tryRepeat(final ServiceName service, final long nowMs) {
+    return allowance.tryRepeat(service, nowMs);
+  }
+
+  long retryAfterMs(final ExchangeOrder order) {
+    return spreadRetryAfterMs();
+  }
+
+  Optional<EndpointRecord> find(final EndpointId endpoint) {
+    return directory.find(endpoint);
+  }
+
+  void attemptFailed(
+      final ExchangeOrder order,
+      final EndpointId endpoint,
+      final String result,
+      final String detail) {
+    metrics.attemptFailed(result);
+    log.offer(
+        line(
+            "attempt_failed",
+            order.head().id(),
+            order.route().name(),
+            endpoint.value(),
+            0,
+            0,
+            -1,
+            clock.nowMs() - order.arrivedMs(),
+            result,
+            detail));
+  }
+
+  void finished(final ExchangeOrder order, final ExchangeResult result) {
+    inFlight--;
+    final long totalMs = clock.nowMs() - order.arrivedMs();
+    metrics.request(order.route().kind(), result.outcome(), totalMs);
+    long firstMs = -1;
+    if (result.firstPartMs() >= 0) {
+      firstMs = result.firstPartMs() - order.arrivedMs();
+      metrics.firstPart(order.route().kind(), firstMs);
+    }
+    log.offer(
+        line(
+            "request",
+            order.head().id(),
+            order.route().name(),
+            result.endpoint().map(EndpointId::value).orElse(""),
+            result.status(),
+            result.attempts(),
+            firstMs,
+            totalMs,
+            result.outcome(),
+            result.detail()));
+  }
+
+  private RequestLine line(
+      final String event,
+      final String request,
+      final String route,
+      final String endpoint,
+      final int status,
+      final int attempts,
+      final long firstMs,
+      final long totalMs,
+      final String outcome,
+      final String detail) {
+    final long nowMs = clock.nowMs();
+    return new RequestLine(
+        nowMs,
+        node.value(),
+        event,
+        request,
+        route,
+        endpoint,
+        endpoint.isEmpty() ? 0 : board.inFlight(new EndpointId(endpoint), nowMs),
+        plans.inForce().map(RoutingPlan::version).orElse(0L),
+        plans.ageMs(nowMs),
+        status,
+        attempts,
+        firstMs,
+        totalMs,
+        outcome,
+        detail);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -0,0 +1,300 @@
+package org.bulrushweir.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.balancing.EndpointBoard;
+import org.bulrushweir.balancing.EndpointSelector;
+import org.bulrushweir.balancing.RepeatAllowance;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.PlanHolder;
+import org.bulrushweir.catalog.ServicePlan;
+import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.settings.GatewaySettings;
+import org.bulrushweir.settings.SocketAddressSettings;
+import org.bulrushweir.store.ChangeFeed;
+import org.bulrushweir.store.ChangePage;
+import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.wire.DatagramTransport;
+
+/** Runs a gateway: its servers, what it follows in the store, and its reports to peers. */
+public final class GatewayService implements KernelService {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How often peers get a report, in milliseconds: several within a request's time. */
+  private static final long REPORT_INTERVAL_MS = 200;
+
+  /** How often registrations of gateways are read, in milliseconds; new ones report themselves. */
+  private static final long ROUTERS_INTERVAL_MS = 15_000;
+
+  /** The pause before a failed registration is tried again, in milliseconds. */
+  private static final long REGISTER_RETRY_MS = 1_000;
+
+  /** How often old connections are closed, in milliseconds. */
+  private static final long SWEEP_INTERVAL_MS = 1_000;
+
+  /** How many connections may wait to be accepted. */
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  /** The largest request for status or metrics, in bytes. */
+  private static final int MAX_STATUS_BYTES = 4_096;
+
+  /** Within which the balancer notices that this process is not ready, in milliseconds. */
+  private static final long BALANCER_NOTICE_MS = 2_600;
+
+  /** For how long no new connection has come before the process may exit, in milliseconds. */
+  private static final long QUIET_MS = 400;
+
+  /** How long before the kill the process exits by itself, in milliseconds. */
+  private static final long EXIT_MARGIN_MS = 500;
+
+  /** How often a stopping process looks whether it is done, in milliseconds. */
+  private static final long DRAIN_CHECK_MS = 50;
+
+  private final GatewaySettings settings;
+  private final Clock clock;
+  private final EventLoopService loops;
+  private final ChangeFeed feed;
+  private final GatewayMetrics metrics;
+  private final GatewayCore core;
+  private final PeerMesh mesh;
+  private final ConnectionPool pool;
+  private final List<TableFollower> followers;
+  private DatagramTransport transport;
+  private int callersPort;
+  private int statusPort;
+
+  /**
+   * Creates a gateway.
+   *
+   * @param settings its settings
+   * @param clock the clock
+   * @param loops the thread
+   * @param feed the store
+   * @param metrics the metrics
+   * @param log takes a line for each decision
+   */
+  public GatewayService(
+      final GatewaySettings settings,
+      final Clock clock,
+      final EventLoopService loops,
+      final ChangeFeed feed,
+      final GatewayMetrics metrics,
+      final AsyncLogWriter log) {
+    this.settings = settings;
+    this.clock = clock;
+    this.loops = loops;
+    this.feed = feed;
+    this.metrics = metrics;
+    final EventLoop loop = loops.loop();
+    final PlanHolder plans = new PlanHolder();
+    final EndpointDirectory directory = new EndpointDirectory();
+    final EndpointBoard board =
+        new EndpointBoard(
+            directory,
+            service ->
+                plans
+                    .inForce()
+                    .flatMap(plan -> plan.service(service))
+                    .map(ServicePlan::kvCapacityTokens)
+                    .orElse(0L));
+    final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
+    this.pool = new ConnectionPool(loops.group(), clock);
+    this.core =
+        new GatewayCore(
+            settings.node(),
+            clock,
+            loop,
+            plans,
+            directory,
+            board,
+            new EndpointSelector(board, settings.zone(), settings.selector()),
+            allowance,
+            pool,
+            metrics,
+            log);
+    this.mesh = new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance);
+    this.followers =
+        List.of(
+            new TableFollower(
+                feed, SharedTable.CONFIGURATION, new PlanListener(plans, clock), loop),
+            new TableFollower(
+                feed, SharedTable.ENDPOINTS, new EndpointListener(directory, clock), loop));
+    metrics.gauge(
+        "bulrushweir_gateway_plan_version",
+        "The version of the plan in force.",
+        () -> plans.inForce().map(plan -> (double) plan.version()).orElse(0.0));
+    metrics.gauge(
+        "bulrushweir_gateway_log_lines_dropped", "Log lines that were dropped.", log::dropped);
+    metrics.gauge(
+        "bulrushweir_gateway_connections_opened", "Connections opened to endpoints.", pool::opened);
+  }
+
+  /**
+   * Returns the port for callers.
+   *
+   * @return the bound port
+   */
+  public int callersPort() {
+    return callersPort;
+  }
+
+  /**
+   * Returns the port for the balancer.
+   *
+   * @return the bound port
+   */
+  public int statusPort() {
+    return statusPort;
+  }
+
+  @Override
+  public void start() {
+    followers.forEach(TableFollower::start);
+    statusPort = bindStatus(settings.readiness());
+    bindStatus(settings.metrics());
+    callersPort = bindCallers();
+    final SocketAddressSettings peers = settings.peers();
+    transport = DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive);
+    final EventLoop loop = loops.loop();
+    loop.execute(this::register);
+    loop.execute(this::readRouters);
+    loop.scheduleWithFixedDelay(
+        () -> mesh.report(transport, false),
+        REPORT_INTERVAL_MS,
+        REPORT_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        pool::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    logger.atInfo().log(
+        "started in zone %s: callers %s, readiness %s, peers %s, platform %s",
+        settings.zone(),
+        settings.callers(),
+        settings.readiness(),
+        settings.peers(),
+        settings.platform());
+  }
+
+  private int bindStatus(final SocketAddressSettings address) {
+    final StatusHandler handler = new StatusHandler(core, metrics);
+    return bind(
+        address,
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(final Channel channel) {
+            channel
+                .pipeline()
+                .addLast(
+                    new HttpServerCodec(), new HttpObjectAggregator(MAX_STATUS_BYTES), handler);
+          }
+        });
+  }
+
+  private int bindCallers() {
+    return bind(
+        settings.callers(),
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(final Channel channel) {
+            final HeadTimeDecoder headTime = new HeadTimeDecoder(clock);
+            channel
+                .pipeline()
+                .addLast(
+                    headTime.before(),
+                    new CallerRequestDecoder(core.limits().maxHeaderBytes()),
+                    headTime.after(),
+                    new HttpResponseEncoder(),
+                    new CallerHandler(core, headTime));
+          }
+        });
+  }
+
+  private int bind(
+      final SocketAddressSettings address, final ChannelInitializer<Channel> initializer) {
+    final Channel channel =
+        new ServerBootstrap()
+            .group(loops.group())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer)
+            .bind(address.host(), address.port())
+            .syncUninterruptibly()
+            .channel();
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  private void register() {
+    feed.put(SharedTable.ROUTERS, settings.node().value(), mesh.registration())
+        .whenComplete((done, failure) -> loops.loop().execute(() -> registered(failure)));
+  }
+
+  private void registered(final Throwable failure) {
+    if (failure == null) {
+      logger.atInfo().log("registered as %s", mesh.registration());
+      return;
+    }
+    logger.atFine().log("could not register: %s", failure.getMessage());
+    loops.loop().schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void readRouters() {
+    feed.snapshot(SharedTable.ROUTERS)
+        .whenComplete((page, failure) -> loops.loop().execute(() -> routersRead(page, failure)));
+  }
+
+  private void routersRead(final ChangePage page, final Throwable failure) {
+    if (failure != null) {
+      logger.atFine().log("the registrations can't be read: %s", failure.getMessage());
+      loops.loop().schedule(this::readRouters, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    mesh.registered(page.rows());
+    loops.loop().schedule(this::readRouters, ROUTERS_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes no new work, finishes what is in flight and then returns. */
+  @Override
+  public void stop() {
+    final long startMs = clock.nowMs();
+    final long latestMs = startMs + settings.graceMs() - EXIT_MARGIN_MS;
+    loops.loop().submit(core::drain).syncUninterruptibly();
+    logger.atInfo().log("stopping; %d requests in flight", core.inFlight());
+    boolean done = false;
+    while (!done && clock.nowMs() < latestMs) {
+      try {
+        Thread.sleep(DRAIN_CHECK_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      done = loops.loop().submit(() -> isDrained(startMs)).syncUninterruptibly().getNow();
+    }
+    followers.forEach(TableFollower::stop);
+    loops.loop().submit(() -> mesh.report(transport, true)).syncUninterruptibly();
+    logger.atInfo().log("stopped; %d requests broken off", core.inFlight());
+  }
+
+  private boolean isDrained(final long startMs) {
+    final long nowMs = clock.nowMs();
+    if (nowMs - startMs < BALANCER_NOTICE_MS) {
+      return false;
+    }
+    core.closeIdle();
+    return core.inFlight() == 0 && nowMs - core.lastConnectionMs() > QUIET_MS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/PeerMessages.java
@@ -0,0 +1,90 @@
+package org.bulrushweir.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.balancing.PeerLoad;
+import org.bulrushweir.balancing.PeerReport;
+import org.bulrushweir.balancing.PromptPart;
+import org.bulrushweir.wire.generated.EndpointLoad;
+import org.bulrushweir.wire.generated.PromptPlacement;
+import org.bulrushweir.wire.generated.RouterReport;
+
+/** Converts the reports that gateways exchange. */
+final class PeerMessages {
+
+  private PeerMessages() {}
+
+  /**
+   * Converts a report to its message.
+   *
+   * @param report the report
+   * @param host where the sender takes reports
+   * @param port the port there
+   * @param leaving whether the sender is about to stop
+   * @return the message
+   */
+  static RouterReport write(
+      final PeerReport report, final String host, final int port, final boolean leaving) {
+    final RouterReport.Builder message =
+        RouterReport.newBuilder()
+            .setNode(report.node().value())
+            .setIncarnation(report.incarnation())
+            .setSequence(report.sequence())
+            .setPlanVersion(report.planVersion())
+            .setHost(host)
+            .setPort(port)
+            .setLeaving(leaving);
+    report
+        .loads()
+        .forEach(
+            (endpoint, load) ->
+                message.addLoads(
+                    EndpointLoad.newBuilder()
+                        .setEndpoint(endpoint.value())
+                        .setInFlight(load.inFlight())
+                        .setPendingTokens(Math.max(0, load.pendingTokens()))));
+    for (final PeerReport.Placement placement : report.placements()) {
+      final PromptPlacement.Builder entry =
+          PromptPlacement.newBuilder().setEndpoint(placement.endpoint().value());
+      for (final PromptPart part : placement.sharedParts()) {
+        entry.addPartIds(part.id()).addPartTokens(part.tokens());
+      }
+      message.addPlacements(entry);
+    }
+    return message.build();
+  }
+
+  /**
+   * Converts a message to the report.
+   *
+   * @param message the message
+   * @return the report
+   */
+  static PeerReport read(final RouterReport message) {
+    final Map<EndpointId, PeerLoad> loads = new HashMap<>();
+    for (final EndpointLoad load : message.getLoadsList()) {
+      loads.put(
+          new EndpointId(load.getEndpoint()),
+          new PeerLoad(load.getInFlight(), load.getPendingTokens()));
+    }
+    final List<PeerReport.Placement> placements = new ArrayList<>();
+    for (final PromptPlacement placement : message.getPlacementsList()) {
+      final List<PromptPart> parts = new ArrayList<>();
+      for (int index = 0; index < placement.getPartIdsCount(); index++) {
+        parts.add(new PromptPart(placement.getPartIds(index), placement.getPartTokens(index)));
+      }
+      placements.add(new PeerReport.Placement(new EndpointId(placement.getEndpoint()), parts));
+    }
+    return new PeerReport(
+        new NodeId(message.getNode()),
+        message.getIncarnation(),
+        message.getSequence(),
+        message.getPlanVersion(),
+        loads,
+        placements);
+  }
+}
--- a/src/main/java/org/bulrushweir/logging/LogSetup.java
+++ b/src/main/java/org/bulrushweir/logging/LogSetup.java
@@ -25,6 +25,27 @@
    * @param node the process's id
    */
   public static void install(final LogFormat format, final LogLevel level, final NodeId node) {
+    install(format, level, node, new ConsoleHandler());
+  }
+
+  /**
+   * Sends all records to a writer that never blocks.
+   *
+   * @param format how records are written
+   * @param level the least severity that is written
+   * @param node the process's id
+   * @param writer writes the records
+   */
+  public static void install(
+      final LogFormat format,
+      final LogLevel level,
+      final NodeId node,
+      final AsyncLogWriter writer) {
+    install(format, level, node, new AsyncLogHandler(writer));
+  }
+
+  private static void install(
+      final LogFormat format, final LogLevel level, final NodeId node, final Handler handler) {
     LogManager.getLogManager().reset();
     final Logger root = Logger.getLogger("");
     root.setLevel(Level.WARNING);
@@ -34,7 +55,6 @@
           case TEXT -> new TextFormatter(node);
           case JSON -> new JsonFormatter(node);
         };
-    final Handler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
     handler.setFormatter(formatter);
     root.addHandler(handler);
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -24,11 +24,11 @@
 import org.bulrushweir.membership.GossipSettings;
 import org.bulrushweir.membership.PeerPicker.Peer;
 import org.bulrushweir.membership.PoolStatistics;
-import org.bulrushweir.platform.PlatformStore;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.VmRole;
 import org.bulrushweir.routing.EndpointPool;
 import org.bulrushweir.routing.PoolDirectory;
+import org.bulrushweir.store.PlatformStore;
+import org.bulrushweir.store.Vm;
+import org.bulrushweir.store.VmRole;
 import org.bulrushweir.wire.generated.Report;
 
 /**
--- a/src/main/java/org/bulrushweir/node/PlatformService.java
+++ b/src/main/java/org/bulrushweir/node/PlatformService.java
@@ -1,16 +1,24 @@
 package org.bulrushweir.node;
 
+import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.platform.HttpPlatformStore;
-import org.bulrushweir.platform.PlatformStore;
 import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.store.ChangeFeed;
+import org.bulrushweir.store.PlatformStore;
 
 /** Gives the other services access to the platform. */
 public final class PlatformService implements KernelService {
 
+  /**
+   * How long a call of a gateway may take besides what it is asked to wait, in milliseconds: well
+   * below the time within which configurations are in force.
+   */
+  public static final long GATEWAY_TIMEOUT_MS = 700;
+
   private final OkHttpClient client = new OkHttpClient();
-  private final PlatformStore store;
+  private final HttpPlatformStore store;
 
   /**
    * Creates the service.
@@ -18,7 +26,26 @@
    * @param settings the process's settings
    */
   public PlatformService(final ProcessSettings settings) {
-    this.store = new HttpPlatformStore(client, settings.platform(), settings.platformTimeoutMs());
+    this(settings.platform(), settings.platformTimeoutMs());
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param platform the platform's base URL
+   * @param timeoutMs how long a call may take, in milliseconds
+   */
+  public PlatformService(final HttpUrl platform, final long timeoutMs) {
+    this.store = new HttpPlatformStore(client, platform, timeoutMs);
+  }
+
+  /**
+   * Returns the feed of changes.
+   *
+   * @return the feed
+   */
+  public ChangeFeed feed() {
+    return store;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/node/ServiceMembers.java
+++ b/src/main/java/org/bulrushweir/node/ServiceMembers.java
@@ -9,8 +9,8 @@
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.membership.EndpointInfo;
 import org.bulrushweir.membership.EndpointTable;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.VmState;
+import org.bulrushweir.store.Vm;
+import org.bulrushweir.store.VmState;
 
 /**
  * Lists the endpoints of each service that take work: what is listed, unless it is leaving, and
--- a/src/main/java/org/bulrushweir/node/ServiceNames.java
+++ b/src/main/java/org/bulrushweir/node/ServiceNames.java
@@ -33,5 +33,11 @@
   /** The answers to operators' questions. */
   public static final String ADMIN = "admin";
 
+  /** The thread of a gateway. */
+  public static final String EVENT_LOOP = "event-loop";
+
+  /** The gateway itself. */
+  public static final String GATEWAY = "gateway";
+
   private ServiceNames() {}
 }
--- a/src/main/java/org/bulrushweir/node/VmDirectory.java
+++ b/src/main/java/org/bulrushweir/node/VmDirectory.java
@@ -10,8 +10,8 @@
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.membership.EndpointInfo;
 import org.bulrushweir.membership.EndpointTable;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.VmRole;
+import org.bulrushweir.store.Vm;
+import org.bulrushweir.store.VmRole;
 
 /** Holds one state of the platform's list of VMs, found by name or by endpoint key. */
 final class VmDirectory {
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/AnswerTranslator.java
@@ -0,0 +1,101 @@
+package org.bulrushweir.platform;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.AsciiString;
+import java.util.OptionalLong;
+import org.bulrushweir.relay.AnswerHead;
+
+/** Translates endpoints' answers into the product's types. */
+public final class AnswerTranslator {
+
+  private static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
+  private static final String TIMEOUT = "timeout=";
+  private static final long MS_PER_SECOND = 1_000;
+  private static final int MISDIRECTED = 421;
+
+  private AnswerTranslator() {}
+
+  /**
+   * Tells whether an answer belongs to a request.
+   *
+   * @param response the answer
+   * @param requestId the caller's id of the request
+   * @return false if the answer names another request; a failure may name none
+   */
+  public static boolean belongsTo(final HttpResponse response, final String requestId) {
+    final String echoed = response.headers().get(HeaderNames.REQUEST_ID);
+    return echoed == null || echoed.equals(requestId);
+  }
+
+  /**
+   * Reads the head of an answer.
+   *
+   * @param response the answer
+   * @return what it says
+   */
+  public static AnswerHead head(final HttpResponse response) {
+    final HttpHeaders headers = response.headers();
+    final int status = response.status().code();
+    final boolean authentic =
+        headers.contains(HeaderNames.ANSWER_SEAL)
+            && headers.contains(HeaderNames.REQUEST_ID)
+            && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+    final boolean notRun = headers.contains(HeaderNames.NOT_RUN) || status == MISDIRECTED;
+    return new AnswerHead(status, authentic, notRun, retryAfterMs(headers));
+  }
+
+  private static long retryAfterMs(final HttpHeaders headers) {
+    final String text = headers.get(HttpHeaderNames.RETRY_AFTER);
+    if (text == null) {
+      return 0;
+    }
+    try {
+      return Math.max(0, (long) (Double.parseDouble(text.strip()) * MS_PER_SECOND));
+    } catch (NumberFormatException e) {
+      // A date, which these endpoints do not send; no advice is taken from it.
+      return 0;
+    }
+  }
+
+  /**
+   * Copies the headers of an answer for the caller, without those that concern one connection.
+   *
+   * @param response the answer
+   * @return the headers
+   */
+  public static HttpHeaders forCaller(final HttpResponse response) {
+    final HttpHeaders headers = response.headers().copy();
+    HopHeaders.remove(headers);
+    return headers;
+  }
+
+  /**
+   * Reads for how long the endpoint keeps an idle connection open.
+   *
+   * @param response an answer on it
+   * @return the time in milliseconds, empty if it does not say
+   */
+  public static OptionalLong idleTimeoutMs(final HttpResponse response) {
+    final String text = response.headers().get(KEEP_ALIVE);
+    if (text == null) {
+      return OptionalLong.empty();
+    }
+    for (final String field : text.split(",")) {
+      final String stripped = field.strip();
+      if (stripped.startsWith(TIMEOUT)) {
+        return seconds(stripped.substring(TIMEOUT.length()));
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  private static OptionalLong seconds(final String text) {
+    try {
+      return OptionalLong.of(Long.parseLong(text) * MS_PER_SECOND);
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -0,0 +1,81 @@
+package org.bulrushweir.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.util.Optional;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.Finding;
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.catalog.EndpointRecord;
+
+/** Decodes the registrations of endpoints, which others may have written too. */
+public final class EndpointDecoder {
+
+  private static final String READY = "ready";
+  private static final String DRAINING = "draining";
+
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /**
+   * Decodes a registration.
+   *
+   * @param key the row's key
+   * @param text the row's value
+   * @param findings why it can't be used
+   * @return the endpoint, empty if there is any finding
+   */
+  public Optional<EndpointRecord> decode(
+      final String key, final String text, final FindingCollector findings) {
+    final JsonReader reader;
+    try {
+      reader = new JsonReader("endpoint " + key, mapper.readTree(text), findings);
+    } catch (JsonProcessingException e) {
+      findings.add(new Finding("endpoint " + key, 0, 0, "is not JSON"));
+      return Optional.empty();
+    }
+    final Optional<EndpointId> id = id(key, reader);
+    final Optional<ServiceName> service = reader.value("service", ServiceName::new);
+    final Optional<ZoneName> zone = reader.value("zone", ZoneName::new);
+    final Optional<HostAndPort> address = reader.value("address", EndpointDecoder::address);
+    final int slots = (int) reader.integer("slots");
+    final String state = reader.text("state");
+    reader.integer("sequence");
+    if (!state.equals(READY) && !state.equals(DRAINING)) {
+      reader.report("state", "is none that is known");
+    }
+    if (!findings.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new EndpointRecord(
+            id.get(),
+            service.get(),
+            address.get().getHost(),
+            address.get().getPort(),
+            zone.get(),
+            slots,
+            state.equals(DRAINING),
+            reader.integer("born", 0)));
+  }
+
+  private static Optional<EndpointId> id(final String key, final JsonReader reader) {
+    try {
+      return Optional.of(new EndpointId(key));
+    } catch (IllegalArgumentException e) {
+      reader.report("id", "can't be used: " + e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private static HostAndPort address(final String text) {
+    final HostAndPort address = HostAndPort.fromString(text);
+    if (!address.hasPort() || !InetAddresses.isInetAddress(address.getHost())) {
+      throw new IllegalArgumentException("\"" + text + "\" is not an IP number and port");
+    }
+    return address;
+  }
+}
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -4,11 +4,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Date;
+import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.HttpUrl;
@@ -17,27 +20,45 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.bulrushweir.store.ChangeFeed;
+import org.bulrushweir.store.ChangePage;
+import org.bulrushweir.store.CommitResult;
+import org.bulrushweir.store.Condition;
+import org.bulrushweir.store.HistoryLostException;
+import org.bulrushweir.store.PlatformException;
+import org.bulrushweir.store.PlatformStore;
+import org.bulrushweir.store.Row;
+import org.bulrushweir.store.RowChange;
+import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.store.Transaction;
+import org.bulrushweir.store.Vm;
+import org.bulrushweir.store.Write;
 
-/** Reaches the platform over its HTTP interface. */
-public final class HttpPlatformStore implements PlatformStore {
+/** Reaches the platform's store over HTTP; the only client of it. */
+public final class HttpPlatformStore implements PlatformStore, ChangeFeed {
 
   private static final MediaType JSON = MediaType.get("application/json");
   private static final MediaType TEXT = MediaType.get("text/plain; charset=utf-8");
+  private static final String NO_PARTITION = "";
+  private static final String AFTER_ALL_KEYS = "\uffff";
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
-  private static final int STATUS_CONFLICT = 409;
+  private static final int STATUS_GONE = 410;
+  private static final int STATUS_PRECONDITION_FAILED = 412;
+  private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_UNAVAILABLE = 503;
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient client;
   private final HttpUrl base;
+  private final long timeoutMs;
 
   /**
    * Creates the client.
    *
    * @param client the HTTP client to share connections with
    * @param base the platform's base URL
-   * @param timeoutMs how long a call may take, in milliseconds
+   * @param timeoutMs how long a call may take, in milliseconds, besides what it is asked to wait
    */
   public HttpPlatformStore(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
     this.client =
@@ -47,50 +68,47 @@
             .callTimeout(Duration.ofMillis(timeoutMs))
             .build();
     this.base = base;
+    this.timeoutMs = timeoutMs;
   }
 
   @Override
   public CompletableFuture<Row> read(final String key) {
-    final Request request = new Request.Builder().url(url("v1/table/" + key)).build();
-    return send(request)
+    return range(StorePaths.OWN_TABLE, key, key + '\0')
         .thenApply(
-            reply -> {
-              if (reply.status() == STATUS_NOT_FOUND) {
-                return new Row(key, 0, "", reply.timeMs());
-              }
-              return toRow(parse(reply, PlatformProtocol.RowMessage.class), reply.timeMs());
-            });
+            message ->
+                message.rows().stream()
+                    .findFirst()
+                    .map(row -> toRow(row, message.storeClockMs()))
+                    .orElseGet(() -> new Row(key, 0, "", message.storeClockMs())));
   }
 
   @Override
   public CompletableFuture<List<Row>> scan(final String prefix) {
-    final HttpUrl url = url("v1/table").newBuilder().addQueryParameter("prefix", prefix).build();
-    return send(new Request.Builder().url(url).build())
+    return all(StorePaths.OWN_TABLE, prefix, prefix + AFTER_ALL_KEYS)
         .thenApply(
-            reply ->
-                parse(reply, PlatformProtocol.RowsMessage.class).rows().stream()
-                    .map(row -> toRow(row, reply.timeMs()))
-                    .toList());
+            message ->
+                message.rows().stream().map(row -> toRow(row, message.storeClockMs())).toList());
   }
 
   @Override
   public CompletableFuture<CommitResult> commit(final Transaction transaction) {
-    final RequestBody body = RequestBody.create(writeJson(toMessage(transaction)), JSON);
-    final Request request = new Request.Builder().url(url("v1/table/transact")).post(body).build();
-    return send(request).thenApply(this::toCommitResult);
+    return transact(StorePaths.OWN_TABLE, transaction.conditions(), transaction.writes())
+        .thenApply(reply -> toCommitResult(reply, transaction));
   }
 
   @Override
   public CompletableFuture<Void> putObject(final String key, final String content) {
     final RequestBody body = RequestBody.create(content, TEXT);
-    final Request request = new Request.Builder().url(url("v1/objects/" + key)).put(body).build();
-    return send(request).thenApply(HttpPlatformStore::requireOk).thenApply(reply -> null);
+    final HttpUrl url = objectUrl(StorePaths.PUT_OBJECT, key);
+    return send(new Request.Builder().url(url).put(body).build())
+        .thenApply(HttpPlatformStore::requireOk)
+        .thenApply(reply -> null);
   }
 
   @Override
   public CompletableFuture<Optional<String>> object(final String key) {
-    final Request request = new Request.Builder().url(url("v1/objects/" + key)).build();
-    return send(request)
+    final HttpUrl url = objectUrl(StorePaths.GET_OBJECT, key);
+    return send(new Request.Builder().url(url).build())
         .thenApply(
             reply -> {
               if (reply.status() == STATUS_NOT_FOUND) {
@@ -102,42 +120,190 @@
 
   @Override
   public CompletableFuture<List<Vm>> vms() {
-    final Request request = new Request.Builder().url(url("v1/vms")).build();
-    return send(request).thenApply(reply -> parse(reply, PlatformProtocol.VmsMessage.class).vms());
+    return all(StorePaths.VM_TABLE, "", AFTER_ALL_KEYS)
+        .thenApply(
+            message ->
+                message.rows().stream()
+                    .map(row -> readJson(decode(row.value()), Vm.class))
+                    .toList());
+  }
+
+  @Override
+  public CompletableFuture<ChangePage> snapshot(final SharedTable table) {
+    return all(StorePaths.nameOf(table), "", AFTER_ALL_KEYS).thenApply(this::toPage);
+  }
+
+  @Override
+  public CompletableFuture<ChangePage> changes(
+      final SharedTable table, final long after, final long waitMs) {
+    final HttpUrl url =
+        url(StorePaths.FOLLOW)
+            .addQueryParameter(StorePaths.TABLE, StorePaths.nameOf(table))
+            .addQueryParameter(StorePaths.AFTER, Long.toString(after))
+            .addQueryParameter(StorePaths.WAIT, Long.toString(waitMs))
+            .build();
+    return send(new Request.Builder().url(url).build(), timeoutMs + waitMs)
+        .thenApply(
+            reply -> {
+              if (reply.status() == STATUS_GONE) {
+                throw new HistoryLostException();
+              }
+              return toPage(parse(reply));
+            });
+  }
+
+  @Override
+  public CompletableFuture<Void> put(
+      final SharedTable table, final String key, final String value) {
+    return transact(StorePaths.nameOf(table), List.of(), List.of(new Write(key, value)))
+        .thenApply(HttpPlatformStore::requireOk)
+        .thenApply(reply -> null);
+  }
+
+  @Override
+  public CompletableFuture<Void> remove(final SharedTable table, final String key) {
+    return put(table, key, null);
+  }
+
+  private CompletableFuture<Reply> transact(
+      final String table, final List<Condition> conditions, final List<Write> writes) {
+    final List<StoreMessages.RowMessage> expected = new ArrayList<>();
+    for (final Condition condition : conditions) {
+      expected.add(row(table, condition.key(), null, condition.version()));
+    }
+    final List<StoreMessages.RowMessage> sets = new ArrayList<>();
+    final List<StoreMessages.RowMessage> removals = new ArrayList<>();
+    for (final Write write : writes) {
+      if (write.value() == null) {
+        removals.add(row(table, write.key(), null, null));
+      } else {
+        sets.add(row(table, write.key(), encode(write.value()), null));
+      }
+    }
+    final String json = writeJson(new StoreMessages.TransactionMessage(expected, sets, removals));
+    final HttpUrl url = url(StorePaths.TRANSACT).build();
+    return send(new Request.Builder().url(url).post(RequestBody.create(json, JSON)).build());
+  }
+
+  private static StoreMessages.RowMessage row(
+      final String table, final String key, final String value, final Long version) {
+    return new StoreMessages.RowMessage(table, NO_PARTITION, key, value, version, null);
+  }
+
+  /** Reads all rows of a range, page by page. */
+  private CompletableFuture<StoreMessages.RowsMessage> all(
+      final String table, final String from, final String to) {
+    return range(table, from, to)
+        .thenCompose(
+            page -> {
+              if (!Boolean.TRUE.equals(page.more()) || page.rows().isEmpty()) {
+                return CompletableFuture.completedFuture(page);
+              }
+              return all(table, page.rows().getLast().key() + '\0', to)
+                  .thenApply(rest -> joined(page, rest));
+            });
   }
 
-  private HttpUrl url(final String path) {
-    return base.newBuilder().addPathSegments(path).build();
+  /** Joins two pages; what has changed since the first one was read is to be followed. */
+  private static StoreMessages.RowsMessage joined(
+      final StoreMessages.RowsMessage page, final StoreMessages.RowsMessage rest) {
+    final List<StoreMessages.RowMessage> rows = new ArrayList<>(page.rows());
+    rows.addAll(rest.rows());
+    return new StoreMessages.RowsMessage(rows, false, page.version(), page.storeClockMs());
   }
 
-  private CommitResult toCommitResult(final Reply reply) {
-    if (reply.status() != STATUS_OK && reply.status() != STATUS_CONFLICT) {
+  private CompletableFuture<StoreMessages.RowsMessage> range(
+      final String table, final String from, final String to) {
+    final HttpUrl url =
+        url(StorePaths.READ)
+            .addQueryParameter(StorePaths.TABLE, table)
+            .addQueryParameter(StorePaths.PARTITION, NO_PARTITION)
+            .addQueryParameter(StorePaths.FROM, from)
+            .addQueryParameter(StorePaths.TO, to)
+            .build();
+    return send(new Request.Builder().url(url).build()).thenApply(this::parse);
+  }
+
+  private HttpUrl.Builder url(final String path) {
+    return base.newBuilder().addPathSegments(path.substring(1));
+  }
+
+  /** Returns the URL of an object; its name on the platform holds no slash. */
+  private HttpUrl objectUrl(final String path, final String key) {
+    return url(path + key.replace('/', '.')).build();
+  }
+
+  private CommitResult toCommitResult(final Reply reply, final Transaction transaction) {
+    if (reply.status() == STATUS_OK) {
+      return new CommitResult.Committed(readRows(reply).version());
+    }
+    if (reply.status() != STATUS_PRECONDITION_FAILED) {
       throw unexpected(reply);
     }
-    final PlatformProtocol.CommitMessage message =
-        readJson(reply.body(), PlatformProtocol.CommitMessage.class);
-    if (message.committed()) {
-      return new CommitResult.Committed(message.version());
+    return new CommitResult.Conflict(conflict(readRows(reply), transaction));
+  }
+
+  /** Finds the first row that differs from its condition; a missing one does not exist. */
+  private static Row conflict(
+      final StoreMessages.RowsMessage message, final Transaction transaction) {
+    for (final Condition condition : transaction.conditions()) {
+      final Row current =
+          message.rows().stream()
+              .filter(row -> row.key().equals(condition.key()))
+              .findFirst()
+              .map(row -> toRow(row, message.storeClockMs()))
+              .orElseGet(() -> Row.absent(condition.key()));
+      if (current.version() != condition.version()) {
+        return current;
+      }
+    }
+    throw new PlatformException("the platform reports a conflict but names no row", true, null);
+  }
+
+  private ChangePage toPage(final StoreMessages.RowsMessage message) {
+    final List<RowChange> rows = new ArrayList<>();
+    for (final StoreMessages.RowMessage row : message.rows()) {
+      final boolean removed = Boolean.TRUE.equals(row.removed()) || row.value() == null;
+      rows.add(
+          new RowChange(
+              row.key(),
+              removed ? Optional.empty() : Optional.of(decode(row.value())),
+              row.version() == null ? 0 : row.version()));
     }
-    return new CommitResult.Conflict(toRow(message.conflict(), reply.timeMs()));
+    return new ChangePage(rows, message.version());
   }
 
-  private static Row toRow(final PlatformProtocol.RowMessage message, final long timeMs) {
-    return new Row(message.key(), message.version(), message.value(), timeMs);
+  private static Row toRow(final StoreMessages.RowMessage row, final long timeMs) {
+    final boolean exists = row.value() != null && row.version() != null;
+    return new Row(
+        row.key(), exists ? row.version() : 0, exists ? decode(row.value()) : "", timeMs);
   }
 
-  private static PlatformProtocol.TransactionMessage toMessage(final Transaction transaction) {
-    return new PlatformProtocol.TransactionMessage(
-        transaction.conditions().stream()
-            .map(it -> new PlatformProtocol.ConditionMessage(it.key(), it.version()))
-            .toList(),
-        transaction.writes().stream()
-            .map(it -> new PlatformProtocol.WriteMessage(it.key(), it.value()))
-            .toList());
+  private static String encode(final String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
   }
 
-  private <T> T parse(final Reply reply, final Class<T> type) {
-    return readJson(requireOk(reply).body(), type);
+  /** Decodes a value; one that is not base64 is left as it is, for its reader to complain about. */
+  private static String decode(final String value) {
+    try {
+      return new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      return value;
+    }
+  }
+
+  private StoreMessages.RowsMessage parse(final Reply reply) {
+    return readRows(requireOk(reply));
+  }
+
+  private StoreMessages.RowsMessage readRows(final Reply reply) {
+    final StoreMessages.RowsMessage message =
+        readJson(reply.body(), StoreMessages.RowsMessage.class);
+    if (message.rows() == null) {
+      return new StoreMessages.RowsMessage(
+          List.of(), false, message.version(), message.storeClockMs());
+    }
+    return message;
   }
 
   private static Reply requireOk(final Reply reply) {
@@ -148,7 +314,8 @@
   }
 
   private static PlatformException unexpected(final Reply reply) {
-    final boolean refused = reply.status() == STATUS_UNAVAILABLE;
+    final boolean refused =
+        reply.status() == STATUS_UNAVAILABLE || reply.status() == STATUS_TOO_MANY;
     return new PlatformException(
         "the platform answered with status " + reply.status() + ": " + reply.body(),
         !refused,
@@ -172,8 +339,14 @@
   }
 
   private CompletableFuture<Reply> send(final Request request) {
+    return send(request, timeoutMs);
+  }
+
+  private CompletableFuture<Reply> send(final Request request, final long limitMs) {
     final CompletableFuture<Reply> future = new CompletableFuture<>();
-    client.newCall(request).enqueue(new ReplyCallback(future));
+    final Call call = client.newCall(request);
+    call.timeout().timeout(limitMs, TimeUnit.MILLISECONDS);
+    call.enqueue(new ReplyCallback(future));
     return future;
   }
 
@@ -182,9 +355,8 @@
    *
    * @param status the HTTP status
    * @param body the body
-   * @param timeMs the platform's time, in milliseconds, zero if it was not told
    */
-  private record Reply(int status, String body, long timeMs) {}
+  private record Reply(int status, String body) {}
 
   /**
    * Completes a future from the HTTP client's callback.
@@ -203,10 +375,7 @@
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
-        final Date date = response.headers().getDate("Date");
-        future.complete(
-            new Reply(
-                response.code(), response.body().string(), date == null ? 0 : date.getTime()));
+        future.complete(new Reply(response.code(), response.body().string()));
       } catch (IOException e) {
         future.completeExceptionally(
             new PlatformException("the platform's answer broke off", true, e));
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -0,0 +1,108 @@
+package org.bulrushweir.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.function.Function;
+import org.bulrushweir.api.Finding;
+import org.bulrushweir.api.FindingCollector;
+
+/** Reads the fields of a JSON object; what is missing or of another type becomes a finding. */
+final class JsonReader {
+
+  private final String place;
+  private final JsonNode node;
+  private final FindingCollector findings;
+
+  /**
+   * Creates a reader.
+   *
+   * @param place where the object stands, for findings
+   * @param node the object
+   * @param findings where findings go
+   */
+  JsonReader(final String place, final JsonNode node, final FindingCollector findings) {
+    this.place = place;
+    this.node = node;
+    this.findings = findings;
+  }
+
+  JsonReader child(final String field) {
+    return new JsonReader(place + "." + field, node.path(field), findings);
+  }
+
+  JsonReader element(final String field, final int index) {
+    return new JsonReader(
+        place + "." + field + "[" + index + "]", node.path(field).path(index), findings);
+  }
+
+  String textElement(final int index) {
+    return node.path(index).asText("");
+  }
+
+  int size(final String field) {
+    return node.path(field).size();
+  }
+
+  boolean has(final String field) {
+    return node.hasNonNull(field);
+  }
+
+  boolean isObject() {
+    return node.isObject();
+  }
+
+  String text(final String field) {
+    final JsonNode value = node.path(field);
+    if (!value.isTextual()) {
+      report(field, "is not a text");
+      return "";
+    }
+    return value.textValue();
+  }
+
+  long integer(final String field) {
+    final JsonNode value = node.path(field);
+    if (!value.isNumber()) {
+      report(field, "is not a number");
+      return 0;
+    }
+    return value.longValue();
+  }
+
+  long integer(final String field, final long fallback) {
+    return has(field) ? integer(field) : fallback;
+  }
+
+  boolean flag(final String field) {
+    final JsonNode value = node.path(field);
+    if (has(field) && !value.isBoolean()) {
+      report(field, "is not true or false");
+    }
+    return value.asBoolean(false);
+  }
+
+  /**
+   * Reads a text as a value type.
+   *
+   * @param <T> the type
+   * @param field the field
+   * @param constructor makes the value; fails if the text does not fit
+   * @return the value, empty after a finding
+   */
+  <T> Optional<T> value(final String field, final Function<String, T> constructor) {
+    final String text = text(field);
+    if (text.isEmpty()) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(constructor.apply(text));
+    } catch (IllegalArgumentException e) {
+      report(field, "can't be used: " + e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  void report(final String field, final String message) {
+    findings.add(new Finding(place, 0, 0, "\"" + field + "\" " + message));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -0,0 +1,85 @@
+package org.bulrushweir.process;
+
+import dagger.Module;
+import dagger.Provides;
+import dagger.multibindings.IntoMap;
+import dagger.multibindings.StringKey;
+import java.util.Map;
+import javax.inject.Singleton;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.gateway.EventLoopService;
+import org.bulrushweir.gateway.GatewayMetrics;
+import org.bulrushweir.gateway.GatewayService;
+import org.bulrushweir.kernel.Kernel;
+import org.bulrushweir.kernel.ServiceFactory;
+import org.bulrushweir.kernel.SystemClock;
+import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.node.PlatformService;
+import org.bulrushweir.node.ServiceNames;
+import org.bulrushweir.settings.GatewaySettings;
+
+/** Provides the services of a gateway. */
+@Module
+final class GatewayModule {
+
+  private GatewayModule() {}
+
+  @Provides
+  @Singleton
+  static Clock clock() {
+    return new SystemClock();
+  }
+
+  @Provides
+  @Singleton
+  static GatewayMetrics metrics() {
+    return new GatewayMetrics();
+  }
+
+  @Provides
+  @Singleton
+  static Kernel kernel(final Map<String, ServiceFactory> factories) {
+    return new Kernel(factories);
+  }
+
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.PLATFORM)
+  static ServiceFactory platform(final GatewaySettings settings) {
+    return services -> new PlatformService(settings.platform(), PlatformService.GATEWAY_TIMEOUT_MS);
+  }
+
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.EVENT_LOOP)
+  static ServiceFactory eventLoop() {
+    return services -> new EventLoopService();
+  }
+
+  /**
+   * Provides the factory of the gateway itself.
+   *
+   * @param settings the gateway's settings
+   * @param clock the clock
+   * @param metrics the metrics
+   * @param log takes a line for each decision
+   * @return the factory
+   */
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.GATEWAY)
+  static ServiceFactory gateway(
+      final GatewaySettings settings,
+      final Clock clock,
+      final GatewayMetrics metrics,
+      final AsyncLogWriter log) {
+    return services ->
+        new GatewayService(
+            settings,
+            clock,
+            services.find(ServiceNames.EVENT_LOOP, EventLoopService.class),
+            services.find(ServiceNames.PLATFORM, PlatformService.class).feed(),
+            metrics,
+            log);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushweir/relay/RequestHead.java
@@ -0,0 +1,32 @@
+package org.bulrushweir.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.bulrushweir.balancing.PromptPart;
+
+/**
+ * Describes a caller's request without its body.
+ *
+ * @param id the caller's id of this request
+ * @param host the host that it names, in lower case, without port
+ * @param path the path without the query
+ * @param deadlineMs how long the caller waits, in milliseconds, empty if it does not say
+ * @param key the caller's key, empty if it sent none
+ * @param prompt the parts of its prompt in order, empty for calls
+ * @param resumeAfter the id of the last event that the caller already has
+ */
+public record RequestHead(
+    String id,
+    String host,
+    String path,
+    OptionalLong deadlineMs,
+    Optional<String> key,
+    List<PromptPart> prompt,
+    OptionalLong resumeAfter) {
+
+  /** Copies the prompt. */
+  public RequestHead {
+    prompt = List.copyOf(prompt);
+  }
+}
--- a/src/main/java/org/bulrushweir/routing/BitMixer.java
+++ b/src/main/java/org/bulrushweir/routing/BitMixer.java
@@ -1,7 +1,7 @@
 package org.bulrushweir.routing;
 
 /** Mixes the bits of numbers so that each bit of the result depends on all bits of the input. */
-final class BitMixer {
+public final class BitMixer {
 
   /** The first factor of the finalizer of SplitMix64. */
   private static final long FACTOR_1 = 0xBF58476D1CE4E5B9L;
@@ -26,7 +26,7 @@
    * @param value the number
    * @return the mixed number
    */
-  static long mix(final long value) {
+  public static long mix(final long value) {
     long mixed = value;
     mixed = (mixed ^ mixed >>> SHIFT_1) * FACTOR_1;
     mixed = (mixed ^ mixed >>> SHIFT_2) * FACTOR_2;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -0,0 +1,156 @@
+package org.bulrushweir.settings;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import okhttp3.HttpUrl;
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.Identifiers;
+import org.bulrushweir.api.InvalidInputException;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.balancing.RepeatBudget;
+import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.toml.TomlReader;
+
+/** Reads and checks the settings of a gateway. */
+public final class GatewaySettingsLoader {
+
+  /** The usual time between SIGTERM and SIGKILL, in milliseconds. */
+  private static final long DEFAULT_GRACE_MS = 8_000;
+
+  /** The longest time between SIGTERM and SIGKILL, in milliseconds. */
+  private static final long MAXIMUM_GRACE_MS = 600_000;
+
+  /** Repeats for each request, if the settings do not say; a tenth is usual. */
+  private static final double DEFAULT_REPEAT_RATIO = 0.1;
+
+  /** Further repeats in a window, if the settings do not say. */
+  private static final double DEFAULT_REPEAT_SLACK = 10;
+
+  /** The most repeats that may be allowed besides the ratio. */
+  private static final double MAXIMUM_REPEAT_SLACK = 1_000_000;
+
+  /** The length of a window of the repeat budget in seconds, if the settings do not say. */
+  private static final double DEFAULT_REPEAT_WINDOW_S = 10;
+
+  /** The longest window of the repeat budget, in seconds. */
+  private static final double MAXIMUM_REPEAT_WINDOW_S = 3_600;
+
+  /** The bound on an endpoint's load as a multiple of the mean, if the settings do not say. */
+  private static final double DEFAULT_LOAD_MULTIPLE = 2;
+
+  /** The greatest bound on an endpoint's load as a multiple of the mean. */
+  private static final double MAXIMUM_LOAD_MULTIPLE = 100;
+
+  /** How fast an engine reads prompts, in tokens per millisecond; the engines' data sheets. */
+  private static final double DEFAULT_PREFILL_TOKENS_PER_MS = 69.8;
+
+  /** The greatest speed of reading that is believed, in tokens per millisecond. */
+  private static final double MAXIMUM_PREFILL_TOKENS_PER_MS = 100_000;
+
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final FindingCollector findings = new FindingCollector();
+  private final TomlReader root;
+
+  private GatewaySettingsLoader(final String source, final String text) {
+    this.root = TomlReader.parse(source, text, findings);
+  }
+
+  /**
+   * Reads the settings.
+   *
+   * @param source the name of the file, used in findings
+   * @param text the TOML text
+   * @return the settings
+   * @throws InvalidInputException with all findings, if there are any
+   */
+  public static GatewaySettings load(final String source, final String text) {
+    return new GatewaySettingsLoader(source, text).load();
+  }
+
+  private GatewaySettings load() {
+    findings.throwIfAny();
+    final String node = name("node");
+    final String zone = name("availability_zone");
+    final TomlReader listen = root.table("listen");
+    final SocketAddressSettings callers = address(listen, "callers");
+    final SocketAddressSettings readiness = address(listen, "readiness");
+    final SocketAddressSettings metrics = address(listen, "metrics");
+    final SocketAddressSettings peers = address(listen, "peers");
+    final HttpUrl platform = platformUrl(root.table("platform"));
+    final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
+    final RepeatBudget repeats = repeats(root.table("repeats"));
+    final SelectorSettings selector = selector(root.table("selection"));
+    final TomlReader log = root.table("log");
+    final LogFormat format = log.choice("format", LogFormat.class, LogFormat.JSON);
+    final LogLevel level = log.choice("level", LogLevel.class, LogLevel.INFO);
+    root.finish();
+    findings.throwIfAny();
+    return new GatewaySettings(
+        new NodeId(node),
+        new ZoneName(zone),
+        callers,
+        readiness,
+        metrics,
+        peers,
+        platform,
+        graceMs,
+        repeats,
+        selector,
+        format,
+        level);
+  }
+
+  private static RepeatBudget repeats(final TomlReader reader) {
+    return new RepeatBudget(
+        reader.number("ratio", DEFAULT_REPEAT_RATIO, 0, 1),
+        reader.number("slack", DEFAULT_REPEAT_SLACK, 0, MAXIMUM_REPEAT_SLACK),
+        (long)
+            (MS_PER_SECOND
+                * reader.number("window_s", DEFAULT_REPEAT_WINDOW_S, 1, MAXIMUM_REPEAT_WINDOW_S)));
+  }
+
+  private static SelectorSettings selector(final TomlReader reader) {
+    return new SelectorSettings(
+        reader.number("load_multiple", DEFAULT_LOAD_MULTIPLE, 1, MAXIMUM_LOAD_MULTIPLE),
+        reader.number(
+            "prefill_tokens_per_ms",
+            DEFAULT_PREFILL_TOKENS_PER_MS,
+            1,
+            MAXIMUM_PREFILL_TOKENS_PER_MS));
+  }
+
+  private String name(final String key) {
+    final String text = root.text(key);
+    if (!text.isEmpty() && !Identifiers.isValid(text)) {
+      root.reportAt(key, "\"" + text + "\" is not a valid name");
+    }
+    return text;
+  }
+
+  private static SocketAddressSettings address(final TomlReader reader, final String key) {
+    final String text = reader.text(key);
+    try {
+      final HostAndPort parsed = HostAndPort.fromString(text);
+      if (InetAddresses.isInetAddress(parsed.getHost())) {
+        return new SocketAddressSettings(parsed.getHost(), parsed.getPort());
+      }
+    } catch (IllegalArgumentException | IllegalStateException e) {
+      // Reported below, together with addresses that are names.
+    }
+    if (!text.isEmpty()) {
+      reader.reportAt(key, "\"" + text + "\" is not an IP number and port such as 10.0.0.1:7400");
+    }
+    return new SocketAddressSettings("127.0.0.1", 0);
+  }
+
+  private static HttpUrl platformUrl(final TomlReader reader) {
+    final String text = reader.text("url");
+    final HttpUrl url = HttpUrl.parse(text);
+    if (url == null && !text.isEmpty()) {
+      reader.reportAt("url", "\"" + text + "\" is not a URL such as http://127.0.0.1:8080");
+    }
+    return url;
+  }
+}
--- a/src/main/java/org/bulrushweir/sidecar/ClaimStore.java
+++ b/src/main/java/org/bulrushweir/sidecar/ClaimStore.java
@@ -3,13 +3,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.concurrent.CompletionException;
-import org.bulrushweir.platform.CommitResult;
-import org.bulrushweir.platform.PlatformException;
-import org.bulrushweir.platform.PlatformStore;
-import org.bulrushweir.platform.Row;
-import org.bulrushweir.platform.Transaction;
 import org.bulrushweir.runonce.ClaimEvent;
 import org.bulrushweir.runonce.ClaimRow;
+import org.bulrushweir.store.CommitResult;
+import org.bulrushweir.store.PlatformException;
+import org.bulrushweir.store.PlatformStore;
+import org.bulrushweir.store.Row;
+import org.bulrushweir.store.Transaction;
 
 /** Reads and writes the row of one claim, turning what the platform says into events. */
 final class ClaimStore {
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -18,8 +18,8 @@
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.GossipService;
 import org.bulrushweir.node.PeerService;
-import org.bulrushweir.platform.PlatformStore;
 import org.bulrushweir.settings.ProcessSettings;
+import org.bulrushweir.store.PlatformStore;
 import org.bulrushweir.timeline.EventLog;
 import org.bulrushweir.wire.PeerIdentity;
 
--- a/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
@@ -1,25 +1,34 @@
 package org.bulrushweir.standin;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.javalin.Javalin;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
 import io.javalin.http.HttpStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
 import org.bulrushweir.api.Clock;
-import org.bulrushweir.platform.CommitResult;
-import org.bulrushweir.platform.Condition;
-import org.bulrushweir.platform.PlatformProtocol;
-import org.bulrushweir.platform.Row;
-import org.bulrushweir.platform.Transaction;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.Write;
-
-/** Stands in for the platform: tables, objects and the list of VMs, with faults on demand. */
+import org.bulrushweir.platform.StoreMessages;
+import org.bulrushweir.platform.StorePaths;
+import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.store.Vm;
+
+/**
+ * Stands in for the platform's store: it speaks the published calls for rows, changes and objects,
+ * and misbehaves on demand. A list of VMs is kept in a table of its own.
+ */
 public final class PlatformStandIn implements AutoCloseable {
 
   private static final long HANG_MS = 3_600_000;
 
+  private final ObjectMapper mapper = new ObjectMapper();
   private final PlatformState state;
   private final Javalin server;
+  private final long listLagMs;
   private volatile PlatformFaults faults = PlatformFaults.NONE;
   private int answersToLose;
 
@@ -33,20 +42,20 @@
    */
   public PlatformStandIn(
       final String host, final int port, final Clock clock, final long listLagMs) {
-    this.state = new PlatformState(clock, listLagMs);
+    this.state = new PlatformState(clock);
+    this.listLagMs = listLagMs;
     this.server = StandInServer.start(host, port, this::addRoutes);
   }
 
   private void addRoutes(final JavalinConfig config) {
-    config.routes.before("/v1/*", this::misbehave);
-    config.routes.get("/v1/table", this::scan);
-    config.routes.get("/v1/table/<key>", this::read);
-    config.routes.post("/v1/table/transact", this::commit);
-    config.routes.put("/v1/objects/<key>", this::putObject);
-    config.routes.get("/v1/objects/<key>", this::object);
-    config.routes.get("/v1/vms", this::vms);
-    config.routes.put("/control/vms", ctx -> state.putVm(ctx.bodyAsClass(Vm.class)));
-    config.routes.delete("/control/vms/{name}", ctx -> state.removeVm(ctx.pathParam("name")));
+    config.routes.before(this::misbehave);
+    config.routes.get(StorePaths.READ, this::read);
+    config.routes.get(StorePaths.FOLLOW, this::follow);
+    config.routes.post(StorePaths.TRANSACT, this::transact);
+    config.routes.put(StorePaths.PUT_OBJECT + "{key}", this::putObject);
+    config.routes.get(StorePaths.GET_OBJECT + "{key}", this::object);
+    config.routes.put("/control/vms", ctx -> putVm(ctx.bodyAsClass(Vm.class)));
+    config.routes.delete("/control/vms/{name}", ctx -> removeVm(ctx.pathParam("name")));
     config.routes.put("/control/faults", ctx -> misbehaveAs(ctx.bodyAsClass(PlatformFaults.class)));
   }
 
@@ -58,15 +67,20 @@
   public synchronized void misbehaveAs(final PlatformFaults newFaults) {
     faults = newFaults;
     answersToLose = newFaults.loseAnswers();
+    if (newFaults.dropHistory()) {
+      state.dropHistory();
+    }
   }
 
   /**
-   * Returns the kept state.
+   * Sets a row as its owner would.
    *
-   * @return the state
+   * @param table the table
+   * @param key the row's key
+   * @param value the row's value, null to remove it
    */
-  public PlatformState state() {
-    return state;
+  public void put(final SharedTable table, final String key, final String value) {
+    state.commitLater(List.of(row(StorePaths.nameOf(table), key, value)), 0);
   }
 
   /**
@@ -78,8 +92,28 @@
     return server.port();
   }
 
+  private void putVm(final Vm vm) throws JsonProcessingException {
+    final StoredRow row = row(StorePaths.VM_TABLE, vm.name(), mapper.writeValueAsString(vm));
+    state.commitLater(List.of(row), listLagMs);
+  }
+
+  private void removeVm(final String name) {
+    state.commitLater(List.of(row(StorePaths.VM_TABLE, name, null)), listLagMs);
+  }
+
+  private static StoredRow row(final String table, final String key, final String value) {
+    final String encoded =
+        value == null
+            ? null
+            : Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+    return new StoredRow(table, key, encoded, 0);
+  }
+
   private void misbehave(final Context ctx) throws InterruptedException {
     final PlatformFaults now = faults;
+    if (ctx.path().startsWith("/control/")) {
+      return;
+    }
     if (now.outage()) {
       ctx.status(HttpStatus.SERVICE_UNAVAILABLE).result("outage").skipRemainingHandlers();
       return;
@@ -100,37 +134,72 @@
     return true;
   }
 
-  private void scan(final Context ctx) {
-    final String prefix = ctx.queryParam("prefix");
-    ctx.json(
-        new PlatformProtocol.RowsMessage(
-            state.scan(prefix == null ? "" : prefix).stream()
-                .map(PlatformStandIn::toMessage)
-                .toList()));
-  }
-
   private void read(final Context ctx) {
-    final Row row = state.read(ctx.pathParam("key"));
-    if (!row.exists()) {
-      ctx.status(HttpStatus.NOT_FOUND);
+    final String from = Optional.ofNullable(ctx.queryParam(StorePaths.FROM)).orElse("");
+    ctx.json(
+        message(
+            state.range(ctx.queryParam(StorePaths.TABLE), from, ctx.queryParam(StorePaths.TO))));
+  }
+
+  private void follow(final Context ctx) throws InterruptedException {
+    final Optional<List<StoredRow>> changes =
+        state.changes(
+            ctx.queryParam(StorePaths.TABLE),
+            Long.parseLong(ctx.queryParam(StorePaths.AFTER)),
+            Long.parseLong(ctx.queryParam(StorePaths.WAIT)));
+    if (faults.outage()) {
+      ctx.status(HttpStatus.SERVICE_UNAVAILABLE).result("outage");
       return;
     }
-    ctx.json(toMessage(row));
-  }
-
-  private void commit(final Context ctx) throws InterruptedException {
-    final CommitResult result =
-        state.commit(toTransaction(ctx.bodyAsClass(PlatformProtocol.TransactionMessage.class)));
+    if (changes.isEmpty()) {
+      ctx.status(HttpStatus.GONE).result("that history is dropped");
+      return;
+    }
+    ctx.json(message(changes.get()));
+  }
+
+  private void transact(final Context ctx) throws InterruptedException {
+    final StoreMessages.TransactionMessage message =
+        ctx.bodyAsClass(StoreMessages.TransactionMessage.class);
+    final List<StoredRow> writes = new ArrayList<>();
+    message.writes().forEach(it -> writes.add(new StoredRow(it.table(), it.key(), it.value(), 0)));
+    message.removals().forEach(it -> writes.add(new StoredRow(it.table(), it.key(), null, 0)));
+    final List<StoredRow> conditions =
+        message.conditions().stream()
+            .map(it -> new StoredRow(it.table(), it.key(), null, it.version()))
+            .toList();
     if (loseAnswer()) {
+      final long lateMs = faults.lateWriteMs();
+      if (lateMs > 0) {
+        Thread.sleep(lateMs);
+      }
+      state.commit(conditions, writes);
       Thread.sleep(HANG_MS);
     }
-    switch (result) {
-      case CommitResult.Committed committed ->
-          ctx.json(new PlatformProtocol.CommitMessage(true, committed.version(), null));
-      case CommitResult.Conflict conflict ->
-          ctx.status(HttpStatus.CONFLICT)
-              .json(new PlatformProtocol.CommitMessage(false, 0, toMessage(conflict.current())));
+    final Optional<List<StoredRow>> conflict = state.commit(conditions, writes);
+    if (conflict.isPresent()) {
+      ctx.status(HttpStatus.PRECONDITION_FAILED).json(message(conflict.get()));
+      return;
     }
+    ctx.json(message(List.of()));
+  }
+
+  private StoreMessages.RowsMessage message(final List<StoredRow> rows) {
+    return new StoreMessages.RowsMessage(
+        rows.stream()
+            .map(
+                row ->
+                    new StoreMessages.RowMessage(
+                        row.table(),
+                        "",
+                        row.key(),
+                        row.value(),
+                        row.version(),
+                        row.exists() ? null : true))
+            .toList(),
+        false,
+        state.version(),
+        state.nowMs());
   }
 
   private void putObject(final Context ctx) throws InterruptedException {
@@ -147,20 +216,6 @@
         .ifPresentOrElse(ctx::result, () -> ctx.status(HttpStatus.NOT_FOUND));
   }
 
-  private void vms(final Context ctx) {
-    ctx.json(new PlatformProtocol.VmsMessage(state.laggingVms()));
-  }
-
-  private static PlatformProtocol.RowMessage toMessage(final Row row) {
-    return new PlatformProtocol.RowMessage(row.key(), row.version(), row.value());
-  }
-
-  private static Transaction toTransaction(final PlatformProtocol.TransactionMessage message) {
-    return new Transaction(
-        message.conditions().stream().map(it -> new Condition(it.key(), it.version())).toList(),
-        message.writes().stream().map(it -> new Write(it.key(), it.value())).toList());
-  }
-
   @Override
   public void close() {
     server.stop();
--- a/src/main/java/org/bulrushweir/standin/PlatformState.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformState.java
@@ -9,79 +9,169 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.bulrushweir.api.Clock;
-import org.bulrushweir.platform.CommitResult;
-import org.bulrushweir.platform.Condition;
-import org.bulrushweir.platform.Row;
-import org.bulrushweir.platform.Transaction;
-import org.bulrushweir.platform.Vm;
-import org.bulrushweir.platform.Write;
-
-/** Keeps the tables, objects and VMs of the platform stand-in in memory. */
+
+/** Keeps the tables and objects of the platform stand-in in memory. */
 public final class PlatformState {
 
-  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final Map<String, TreeMap<String, StoredRow>> tables = new HashMap<>();
   private final Map<String, String> objects = new HashMap<>();
-  private final Map<String, Vm> vms = new TreeMap<>();
-  private final Deque<PastList> pastLists = new ArrayDeque<>();
+  private final Deque<StoredRow> history = new ArrayDeque<>();
+  private final Deque<DueWrite> dueWrites = new ArrayDeque<>();
   private final Clock clock;
-  private final long listLagMs;
   private long lastVersion;
+  private long historyFrom;
 
   /**
    * Creates an empty platform.
    *
    * @param clock the clock
-   * @param listLagMs by how many milliseconds the list of VMs lags
    */
-  public PlatformState(final Clock clock, final long listLagMs) {
+  public PlatformState(final Clock clock) {
     this.clock = clock;
-    this.listLagMs = listLagMs;
   }
 
   /**
-   * Reads a row.
+   * Returns the newest version.
    *
-   * @param key the key
-   * @return the row, absent or not
+   * @return the version of the last transaction
+   */
+  public synchronized long version() {
+    applyDueWrites();
+    return lastVersion;
+  }
+
+  /**
+   * Returns the steady clock.
+   *
+   * @return the time in milliseconds
    */
-  public synchronized Row read(final String key) {
-    return rows.getOrDefault(key, Row.absent(key));
+  public long nowMs() {
+    return clock.nowMs();
   }
 
   /**
-   * Reads the rows with a common prefix.
+   * Reads the rows of a range.
    *
-   * @param prefix the prefix
+   * @param table the table
+   * @param from the first key
+   * @param to the key after the last one, null for no end
    * @return the rows in order
    */
-  public synchronized List<Row> scan(final String prefix) {
-    return List.copyOf(rows.subMap(prefix, prefix + Character.MAX_VALUE).values());
+  public synchronized List<StoredRow> range(
+      final String table, final String from, final String to) {
+    applyDueWrites();
+    final TreeMap<String, StoredRow> rows = table(table);
+    return List.copyOf(
+        (to == null ? rows.tailMap(from) : rows.subMap(from, to.compareTo(from) < 0 ? from : to))
+            .values());
+  }
+
+  private TreeMap<String, StoredRow> table(final String name) {
+    return tables.computeIfAbsent(name, key -> new TreeMap<>());
+  }
+
+  /**
+   * Waits for changes of a table.
+   *
+   * @param table the table
+   * @param after the version after which changes are wanted
+   * @param waitMs how long to wait, in milliseconds
+   * @return the changed rows, empty if that history was dropped
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public synchronized Optional<List<StoredRow>> changes(
+      final String table, final long after, final long waitMs) throws InterruptedException {
+    final long untilMs = clock.nowMs() + waitMs;
+    while (true) {
+      applyDueWrites();
+      if (after < historyFrom) {
+        return Optional.empty();
+      }
+      final List<StoredRow> rows =
+          history.stream()
+              .filter(row -> row.version() > after && row.table().equals(table))
+              .toList();
+      final long leftMs = untilMs - clock.nowMs();
+      if (!rows.isEmpty() || leftMs <= 0) {
+        return Optional.of(rows);
+      }
+      wait(Math.min(leftMs, untilNextWriteMs()));
+    }
+  }
+
+  private long untilNextWriteMs() {
+    return dueWrites.isEmpty()
+        ? Long.MAX_VALUE
+        : Math.max(1, dueWrites.getFirst().dueMs() - clock.nowMs());
+  }
+
+  /** Forgets all changes; those who follow them must read the tables anew. */
+  public synchronized void dropHistory() {
+    history.clear();
+    lastVersion++;
+    historyFrom = lastVersion;
+    notifyAll();
   }
 
   /**
    * Commits a transaction, or changes nothing.
    *
-   * @param transaction the transaction
-   * @return the result
+   * @param conditions rows with the versions that they must have, zero for none
+   * @param writes the rows to set, or to remove where the value is null
+   * @return the rows in conditions if one does not hold, otherwise nothing
    */
-  public synchronized CommitResult commit(final Transaction transaction) {
-    for (final Condition condition : transaction.conditions()) {
-      final Row current = read(condition.key());
-      if (current.version() != condition.version()) {
-        return new CommitResult.Conflict(current);
+  public synchronized Optional<List<StoredRow>> commit(
+      final List<StoredRow> conditions, final List<StoredRow> writes) {
+    applyDueWrites();
+    final List<StoredRow> current = new ArrayList<>();
+    boolean holds = true;
+    for (final StoredRow condition : conditions) {
+      final StoredRow row = table(condition.table()).get(condition.key());
+      holds &= condition.version() == (row == null ? 0 : row.version());
+      if (row != null) {
+        current.add(row);
       }
     }
+    if (!holds) {
+      return Optional.of(current);
+    }
+    apply(writes);
+    return Optional.empty();
+  }
+
+  private void apply(final List<StoredRow> writes) {
     lastVersion++;
-    transaction.writes().forEach(this::apply);
-    return new CommitResult.Committed(lastVersion);
+    for (final StoredRow write : writes) {
+      final StoredRow row = new StoredRow(write.table(), write.key(), write.value(), lastVersion);
+      if (row.exists()) {
+        table(row.table()).put(row.key(), row);
+      } else {
+        table(row.table()).remove(row.key());
+      }
+      history.addLast(row);
+    }
+    notifyAll();
   }
 
-  private void apply(final Write write) {
-    if (write.value() == null) {
-      rows.remove(write.key());
+  /**
+   * Sets or removes rows later, whatever they hold then.
+   *
+   * @param writes the rows
+   * @param delayMs how much later, in milliseconds
+   */
+  public synchronized void commitLater(final List<StoredRow> writes, final long delayMs) {
+    if (delayMs <= 0) {
+      apply(writes);
       return;
     }
-    rows.put(write.key(), new Row(write.key(), lastVersion, write.value(), 0));
+    dueWrites.addLast(new DueWrite(clock.nowMs() + delayMs, List.copyOf(writes)));
+    notifyAll();
+  }
+
+  private void applyDueWrites() {
+    while (!dueWrites.isEmpty() && dueWrites.getFirst().dueMs() <= clock.nowMs()) {
+      apply(dueWrites.removeFirst().writes());
+    }
   }
 
   /**
@@ -105,57 +195,10 @@
   }
 
   /**
-   * Adds or replaces a VM.
-   *
-   * @param vm the VM
-   */
-  public synchronized void putVm(final Vm vm) {
-    vms.put(vm.name(), vm);
-    remember();
-  }
-
-  /**
-   * Takes a VM away.
-   *
-   * @param name the VM's name
-   */
-  public synchronized void removeVm(final String name) {
-    vms.remove(name);
-    remember();
-  }
-
-  private void remember() {
-    pastLists.addLast(new PastList(clock.nowMs(), new ArrayList<>(vms.values())));
-  }
-
-  /**
-   * Lists the VMs as they were some time ago.
-   *
-   * @return the lagging list
-   */
-  public synchronized List<Vm> laggingVms() {
-    final long visibleMs = clock.nowMs() - listLagMs;
-    List<Vm> visible = List.of();
-    while (pastLists.size() > 1 && secondTimeMs() <= visibleMs) {
-      pastLists.removeFirst();
-    }
-    if (!pastLists.isEmpty() && pastLists.getFirst().timeMs() <= visibleMs) {
-      visible = pastLists.getFirst().vms();
-    }
-    return visible;
-  }
-
-  private long secondTimeMs() {
-    final var iterator = pastLists.iterator();
-    iterator.next();
-    return iterator.next().timeMs();
-  }
-
-  /**
-   * Remembers a list of VMs.
+   * Rows that are to be written later.
    *
-   * @param timeMs since when it holds, in milliseconds
-   * @param vms the VMs
+   * @param dueMs when
+   * @param writes the rows
    */
-  private record PastList(long timeMs, List<Vm> vms) {}
+  private record DueWrite(long dueMs, List<StoredRow> writes) {}
 }
--- a/src/main/java/org/bulrushweir/platform/CommitResult.java
+++ b/src/main/java/org/bulrushweir/store/CommitResult.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /** Tells what became of a transaction that the platform has answered. */
 public sealed interface CommitResult {
--- a/src/main/java/org/bulrushweir/platform/Condition.java
+++ b/src/main/java/org/bulrushweir/store/Condition.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /**
  * Demands that a row has a certain version when a transaction commits.
--- a/src/main/java/org/bulrushweir/platform/PlatformException.java
+++ b/src/main/java/org/bulrushweir/store/PlatformException.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /** Reports that the platform did not answer, or answered with an error. */
 public final class PlatformException extends RuntimeException {
--- a/src/main/java/org/bulrushweir/platform/Row.java
+++ b/src/main/java/org/bulrushweir/store/Row.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /**
  * Holds a row of the platform's table as it was read.
--- a/src/main/java/org/bulrushweir/platform/Vm.java
+++ b/src/main/java/org/bulrushweir/store/Vm.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
--- a/src/main/java/org/bulrushweir/platform/VmRole.java
+++ b/src/main/java/org/bulrushweir/store/VmRole.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /** What a VM is there for. */
 public enum VmRole {
--- a/src/main/java/org/bulrushweir/platform/VmState.java
+++ b/src/main/java/org/bulrushweir/store/VmState.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /** The states in which the platform lists a VM. */
 public enum VmState {
--- a/src/main/java/org/bulrushweir/platform/Write.java
+++ b/src/main/java/org/bulrushweir/store/Write.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.platform;
+package org.bulrushweir.store;
 
 /**
  * Sets a row, or deletes it.
--- a/src/main/java/org/bulrushweir/wire/DatagramTransport.java
+++ b/src/main/java/org/bulrushweir/wire/DatagramTransport.java
@@ -42,7 +42,24 @@
    */
   public static DatagramTransport bind(
       final String host, final int port, final Consumer<byte[]> receiver) {
-    final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    return bind(
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), host, port, receiver);
+  }
+
+  /**
+   * Binds a socket that shares a thread; closing the transport ends that thread too.
+   *
+   * @param group the thread
+   * @param host the IP number
+   * @param port the port
+   * @param receiver takes the datagrams that come; must not block
+   * @return the transport
+   */
+  public static DatagramTransport bind(
+      final EventLoopGroup group,
+      final String host,
+      final int port,
+      final Consumer<byte[]> receiver) {
     final Channel channel =
         new Bootstrap()
             .group(group)
