--- a/src/main/java/org/bulrushweir/command/Main.java
+++ b/src/main/java/org/bulrushweir/command/Main.java
@@ -20,6 +20,7 @@
                 ProcessCommand.router(),
                 ProcessCommand.sidecar(),
                 new GatewayCommand(),
+                new DemoCommand(),
                 new CheckCommand(),
                 new SubmitCommand(),
                 new ShowCommand(),
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -26,6 +26,7 @@
 import org.bulrushweir.catalog.Tenant;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.platform.RequestTranslator;
+import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.relay.RelayLimits;
 import org.bulrushweir.relay.RequestHead;
 import org.bulrushweir.routing.BitMixer;
@@ -50,6 +51,8 @@
   /** How long a stream may be silent between events, in milliseconds; callers leave after 2 s. */
   private static final long EVENT_SILENCE_MS = 1_000;
 
+  private static final long NOT_DRAINING = -1;
+
   private final Set<CallerHandler> connections = new HashSet<>();
   private final NodeId node;
   private final Clock clock;
@@ -62,7 +65,8 @@
   private final ConnectionPool pool;
   private final GatewayMetrics metrics;
   private final AsyncLogWriter log;
-  private boolean draining;
+  private final DrainPolicy drainPolicy;
+  private long drainingSinceMs = NOT_DRAINING;
   private int inFlight;
   private long lastConnectionMs;
 
@@ -79,6 +83,7 @@
    * @param allowance bounds repeats
    * @param pool keeps connections to endpoints
    * @param metrics the metrics
+   * @param drainPolicy decides what is still taken while stopping
    * @param log takes a line for each decision
    */
   GatewayCore(
@@ -92,6 +97,7 @@
       final RepeatAllowance allowance,
       final ConnectionPool pool,
       final GatewayMetrics metrics,
+      final DrainPolicy drainPolicy,
       final AsyncLogWriter log) {
     this.node = node;
     this.clock = clock;
@@ -103,6 +109,7 @@
     this.allowance = allowance;
     this.pool = pool;
     this.metrics = metrics;
+    this.drainPolicy = drainPolicy;
     this.log = log;
   }
 
@@ -132,15 +139,15 @@
    * @return false before the first plan and from the stop on
    */
   boolean isReady() {
-    return !draining && plans.inForce().isPresent();
+    return !isDraining() && plans.inForce().isPresent();
   }
 
   boolean isDraining() {
-    return draining;
+    return drainingSinceMs != NOT_DRAINING;
   }
 
   void drain() {
-    draining = true;
+    drainingSinceMs = clock.nowMs();
   }
 
   /** Closes the connections of callers that are not within a request. */
@@ -191,6 +198,9 @@
     if (!route.get().open() && plan.needsKeys() && tenant.isEmpty()) {
       return refuse(caller, id, unlessBehind(HttpResponseStatus.UNAUTHORIZED), "no valid key");
     }
+    if (isDraining() && !drainPolicy.takes(route.get().kind(), clock.nowMs() - drainingSinceMs)) {
+      return refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+    }
     final ExchangeOrder order = order(plan, head.get(), route.get(), tenant);
     allowance.requested(order.service(), clock.nowMs());
     inFlight++;
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -22,6 +22,7 @@
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.ChangeFeed;
@@ -58,9 +59,6 @@
   /** For how long no new connection has come before the process may exit, in milliseconds. */
   private static final long QUIET_MS = 400;
 
-  /** How long before the kill the process exits by itself, in milliseconds. */
-  private static final long EXIT_MARGIN_MS = 500;
-
   /** How often a stopping process looks whether it is done, in milliseconds. */
   private static final long DRAIN_CHECK_MS = 50;
 
@@ -70,6 +68,7 @@
   private final ChangeFeed feed;
   private final GatewayMetrics metrics;
   private final GatewayCore core;
+  private final DrainPolicy drainPolicy;
   private final PeerMesh mesh;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
@@ -111,6 +110,7 @@
                     .flatMap(plan -> plan.service(service))
                     .map(ServicePlan::kvCapacityTokens)
                     .orElse(0L));
+    this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
     this.core =
@@ -125,6 +125,7 @@
             allowance,
             pool,
             metrics,
+            drainPolicy,
             log);
     this.mesh = new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance);
     this.followers =
@@ -169,6 +170,7 @@
     callersPort = bindCallers();
     final SocketAddressSettings peers = settings.peers();
     transport = DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive);
+    mesh.bound(transport.port());
     final EventLoop loop = loops.loop();
     loop.execute(this::register);
     loop.execute(this::readRouters);
@@ -271,7 +273,7 @@
   @Override
   public void stop() {
     final long startMs = clock.nowMs();
-    final long latestMs = startMs + settings.graceMs() - EXIT_MARGIN_MS;
+    final long latestMs = startMs + drainPolicy.exitAfterMs();
     loops.loop().submit(core::drain).syncUninterruptibly();
     logger.atInfo().log("stopping; %d requests in flight", core.inFlight());
     boolean done = false;
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import org.bulrushweir.api.Clock;
-import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.EndpointBoard;
 import org.bulrushweir.balancing.PeerReport;
@@ -35,7 +34,7 @@
 
   private final Map<NodeId, Peer> peers = new HashMap<>();
   private final NodeId self;
-  private final SocketAddressSettings address;
+  private SocketAddressSettings address;
   private final Clock clock;
   private final EndpointBoard board;
   private final PlanHolder plans;
@@ -69,6 +68,15 @@
     this.incarnation = System.nanoTime() ^ clock.nowMs();
   }
 
+  /**
+   * Notes the port that was bound, which the settings may leave open.
+   *
+   * @param port the port
+   */
+  void bound(final int port) {
+    address = new SocketAddressSettings(address.host(), port);
+  }
+
   /**
    * Returns this process's registration.
    *
@@ -166,16 +174,6 @@
     }
   }
 
-  /**
-   * Lists what peers have at an endpoint, for tests and logs.
-   *
-   * @param endpoint the endpoint
-   * @return how many requests it has of all gateways
-   */
-  int inFlight(final EndpointId endpoint) {
-    return board.inFlight(endpoint, clock.nowMs());
-  }
-
   /** Another gateway. */
   private static final class Peer {
     private final String host;
--- /dev/null
+++ b/src/main/java/org/bulrushweir/standin/EndpointFault.java
@@ -0,0 +1,27 @@
+package org.bulrushweir.standin;
+
+/** How a stand-in of an endpoint misbehaves. */
+public enum EndpointFault {
+  /** Not at all. */
+  NONE,
+  /** It refuses all requests and proves that it did not run them. */
+  SHED,
+  /** It refuses all requests without a proof. */
+  SHED_UNPROVEN,
+  /** It runs requests and never answers. */
+  HANG,
+  /** It runs requests and resets their connections instead of answering. */
+  RESET,
+  /** It answers with an error. */
+  ERROR,
+  /** It breaks its answers off midway. */
+  CUT,
+  /** It sends bytes that are no answer. */
+  GARBAGE,
+  /** It sends an answer to another request before each answer. */
+  FOREIGN_FIRST,
+  /** It sends another answer after each answer. */
+  EXTRA,
+  /** It answers without a mark of its own. */
+  UNSEALED
+}
--- a/src/main/java/org/bulrushweir/wire/DatagramTransport.java
+++ b/src/main/java/org/bulrushweir/wire/DatagramTransport.java
@@ -71,6 +71,15 @@
     return new DatagramTransport(group, channel);
   }
 
+  /**
+   * Returns the port.
+   *
+   * @return the bound port
+   */
+  public int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
   /**
    * Sends a datagram; it may be lost.
    *
