--- a/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
@@ -27,6 +28,9 @@
   /** An engine's memory while the plan does not tell it, in tokens: that of a small engine. */
   private static final long DEFAULT_MEMORY_TOKENS = 200_000;
 
+  /** From how many tokens on a part is handed over; fewer are read as fast. */
+  private static final int MIN_FETCHED_TOKENS = 256;
+
   private final Map<EndpointId, EndpointState> states = new HashMap<>();
   private final Map<NodeId, ReportOrder> newest = new HashMap<>();
   private final List<PeerReport.Placement> placements = new ArrayList<>();
@@ -103,6 +107,50 @@
     return candidates;
   }
 
+  /**
+   * Returns how much of a prompt the engine that has most of it holds, those that are about to
+   * leave included.
+   *
+   * @param service the service
+   * @param prompt the prompt's parts in order
+   * @return the number of tokens
+   */
+  int mostCached(final ServiceName service, final List<PromptPart> prompt) {
+    int most = 0;
+    for (final EndpointRecord entry : directory.endpoints(service)) {
+      most = Math.max(most, states.get(entry.id()).prefixes().cachedTokens(prompt));
+    }
+    return most;
+  }
+
+  /**
+   * Finds an engine that can hand over what another one lacks of a prompt.
+   *
+   * @param endpoint the engine that is about to get the prompt
+   * @param prompt the prompt's parts in order
+   * @param nowMs the current time
+   * @return the engine that holds most, empty if the rest is not worth it
+   */
+  public Optional<EndpointRecord> cacheSource(
+      final EndpointId endpoint, final List<PromptPart> prompt, final long nowMs) {
+    refresh();
+    final EndpointState target = states.get(endpoint);
+    if (target == null || prompt.isEmpty()) {
+      return Optional.empty();
+    }
+    int most = target.prefixes().cachedTokens(prompt) + MIN_FETCHED_TOKENS - 1;
+    EndpointRecord source = null;
+    for (final EndpointRecord entry : directory.endpoints(target.entry().service())) {
+      final EndpointState state = states.get(entry.id());
+      final int cached = state.prefixes().cachedTokens(prompt);
+      if (state != target && cached > most && !state.isSuspect(nowMs)) {
+        most = cached;
+        source = entry;
+      }
+    }
+    return Optional.ofNullable(source);
+  }
+
   /**
    * Notes that a request is sent.
    *
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -12,16 +12,20 @@
 /**
  * Chooses the endpoint for a request.
  *
- * <p>A prompt goes where it is read soonest with the least harm to others: the parts that an engine
- * has not cached count twice, since reading them also delays the engine's other answers. A part
- * that no engine is known to hold has a home among the engines, found by hashing, so that routers
+ * <p>A prompt goes where it is read soonest with the least harm to others. Tokens that no engine
+ * has cached count several times, since reading them also delays the engine's other answers; tokens
+ * that another engine can hand over count less. Prompts whose first part no engine holds have a
+ * home among the engines, found by hashing that part: prompts that share it meet there, and routers
  * that have not heard of each other's choices agree. A call goes to the endpoint that has the
  * smallest share of its slots in use.
  */
 public final class EndpointSelector {
 
   /** How many times the reading of a part that is not cached counts. */
-  private static final double MISS_WEIGHT = 2;
+  private static final double MISS_WEIGHT = 4;
+
+  /** How many times the reading of a part that another engine hands over counts. */
+  private static final double FETCH_WEIGHT = 1;
 
   /** Which share of the reading a home is credited with before it has read the part. */
   private static final double HOME_CREDIT = 0.6;
@@ -75,13 +79,14 @@
     }
     final double bound = bound(candidates, nowMs);
     final EndpointState home = home(candidates, prompt, nowMs);
+    final int held = board.mostCached(service, prompt);
     return best(
         candidates,
         excluded,
         state ->
             state.inFlight(nowMs) >= bound
                 ? bound + state.inFlight(nowMs) * settings.overBoundMs()
-                : promptCost(state, prompt, home, nowMs),
+                : promptCost(state, prompt, home, held, nowMs),
         nowMs);
   }
 
@@ -120,16 +125,19 @@
       final EndpointState state,
       final List<PromptPart> prompt,
       final EndpointState home,
+      final int held,
       final long nowMs) {
     final int total = tokens(prompt);
     final int shared = total - prompt.getLast().tokens();
     final int cached = state.prefixes().cachedTokens(prompt);
-    double missed = total - cached;
-    if (state == home && cached < shared) {
-      missed -= HOME_CREDIT * (shared - cached);
+    final int fetched = Math.max(0, held - cached);
+    double missed = total - cached - fetched;
+    if (state == home && held < shared) {
+      missed -= HOME_CREDIT * (shared - held);
     }
     final double readMs =
-        (MISS_WEIGHT * missed + state.pendingTokens(nowMs)) / settings.prefillTokensPerMs();
+        (MISS_WEIGHT * missed + FETCH_WEIGHT * fetched + state.pendingTokens(nowMs))
+            / settings.prefillTokensPerMs();
     final double zoneMs = state.entry().zone().equals(zone) ? 0 : OTHER_ZONE_MS;
     return readMs + RUNNING_MS * state.inFlight(nowMs) + zoneMs;
   }
@@ -143,10 +151,10 @@
     return settings.loadMultiple() * sum / Math.max(1, candidates.size()) + BOUND_MARGIN;
   }
 
-  /** Finds the engine that the longest shared part of a prompt belongs to. */
+  /** Finds the engine that the first part of a prompt belongs to. */
   private static EndpointState home(
       final List<EndpointState> candidates, final List<PromptPart> prompt, final long nowMs) {
-    final long part = prompt.get(Math.max(0, prompt.size() - 2)).id();
+    final long part = prompt.getFirst().id();
     EndpointState home = null;
     long greatest = 0;
     for (final EndpointState state : candidates) {
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -171,6 +171,8 @@
     final Optional<EndpointRecord> endpoint = core.find(send.endpoint());
     final Attempt attempt = new Attempt(send.attempt(), send.endpoint());
     current = attempt;
+    attempt.cacheSource =
+        core.board().cacheSource(send.endpoint(), order.head().prompt(), core.nowMs());
     attempt.pendingTokens = core.board().sent(send.endpoint(), order.head().prompt());
     if (endpoint.isEmpty()) {
       attempt.left(AttemptOutcome.ABANDONED);
@@ -203,7 +205,12 @@
         resume && cutter.lastId() >= 0 ? OptionalLong.of(cutter.lastId()) : OptionalLong.empty();
     final AttemptHead head =
         new AttemptHead(
-            attempt.endpoint, order.organisation(), leftMs, order.priority(), resumeAfter);
+            attempt.endpoint,
+            order.organisation(),
+            leftMs,
+            order.priority(),
+            resumeAfter,
+            attempt.cacheSource);
     handle(new RelayEvent.Sent(attempt.id));
     connection.send(
         RequestTranslator.toEndpoint(request, body.retainedDuplicate(), head),
@@ -256,6 +263,7 @@
 
     private final AttemptId id;
     private final EndpointId endpoint;
+    private Optional<EndpointRecord> cacheSource = Optional.empty();
     private long pendingTokens;
     private EndpointConnection connection;
     private HttpResponse response;
--- a/src/main/java/org/bulrushweir/node/PlatformService.java
+++ b/src/main/java/org/bulrushweir/node/PlatformService.java
@@ -1,5 +1,7 @@
 package org.bulrushweir.node;
 
+import java.util.List;
+import okhttp3.ConnectionSpec;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import org.bulrushweir.kernel.KernelService;
@@ -17,7 +19,7 @@
    */
   public static final long GATEWAY_TIMEOUT_MS = 700;
 
-  private final OkHttpClient client = new OkHttpClient();
+  private final OkHttpClient client;
   private final HttpPlatformStore store;
 
   /**
@@ -36,9 +38,18 @@
    * @param timeoutMs how long a call may take, in milliseconds
    */
   public PlatformService(final HttpUrl platform, final long timeoutMs) {
+    this.client = client(platform);
     this.store = new HttpPlatformStore(client, platform, timeoutMs);
   }
 
+  /** Builds a client; one that needs no TLS does not load its certificates, which takes long. */
+  private static OkHttpClient client(final HttpUrl platform) {
+    if (platform.isHttps()) {
+      return new OkHttpClient();
+    }
+    return new OkHttpClient.Builder().connectionSpecs(List.of(ConnectionSpec.CLEARTEXT)).build();
+  }
+
   /**
    * Returns the feed of changes.
    *
--- a/src/main/java/org/bulrushweir/platform/HeaderNames.java
+++ b/src/main/java/org/bulrushweir/platform/HeaderNames.java
@@ -33,6 +33,9 @@
   /** The last event that the receiver of a stream has. */
   static final AsciiString LAST_EVENT = AsciiString.cached("last-event-id");
 
+  /** The engine, by its IP number and port, that hands over parts of the prompt. */
+  static final AsciiString CACHE_SOURCE = AsciiString.cached("kv-fetch");
+
   /** Headers that only the system sets; a caller's are dropped. */
   static final Set<AsciiString> SYSTEM_ONLY =
       Set.of(
@@ -44,7 +47,7 @@
           AsciiString.cached("x-pin-ms"),
           AsciiString.cached("x-kv-backup"),
           AsciiString.cached("kv-from"),
-          AsciiString.cached("kv-fetch"));
+          CACHE_SOURCE);
 
   /** Headers that must reach the endpoint as the caller sent them. */
   static final Set<AsciiString> PASSED_ON =
--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.platform;
 
+import com.google.common.net.HostAndPort;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -141,6 +142,13 @@
     attempt
         .resumeAfter()
         .ifPresent(event -> headers.set(HeaderNames.LAST_EVENT, Long.toString(event)));
+    attempt
+        .cacheSource()
+        .ifPresent(
+            source ->
+                headers.set(
+                    HeaderNames.CACHE_SOURCE,
+                    HostAndPort.fromParts(source.host(), source.port()).toString()));
     return new DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
         request.method(),
--- a/src/main/java/org/bulrushweir/relay/DrainPolicy.java
+++ b/src/main/java/org/bulrushweir/relay/DrainPolicy.java
@@ -12,7 +12,7 @@
 public record DrainPolicy(long graceMs) {
 
   /** How long before the kill the process exits by itself, in milliseconds. */
-  public static final long EXIT_MARGIN_MS = 500;
+  public static final long EXIT_MARGIN_MS = 800;
 
   /** Within which nearly all streams end, in milliseconds: the longest answers of the sheets. */
   private static final long STREAM_MS = 3_500;
