--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -76,6 +76,13 @@
     pendingTokens += tokens;
   }
 
+  /**
+   * Takes what a peer has here.
+   *
+   * @param peer the peer
+   * @param load its load, null if it has nothing
+   * @param nowMs the current time
+   */
   void peerLoad(final NodeId peer, final PeerLoad load, final long nowMs) {
     if (load == null) {
       peerLoads.remove(peer);
@@ -84,6 +91,12 @@
     peerLoads.put(peer, new TimedLoad(load, nowMs));
   }
 
+  /**
+   * Counts the requests of all routers here.
+   *
+   * @param nowMs the current time
+   * @return the requests, as far as is known
+   */
   int inFlight(final long nowMs) {
     int sum = inFlight;
     for (final TimedLoad load : peerLoads.values()) {
@@ -92,6 +105,12 @@
     return sum;
   }
 
+  /**
+   * Counts the prompt tokens that are still to be read here.
+   *
+   * @param nowMs the current time
+   * @return the tokens of all routers, as far as is known
+   */
   long pendingTokens(final long nowMs) {
     long sum = pendingTokens;
     for (final TimedLoad load : peerLoads.values()) {
--- a/src/main/java/org/bulrushweir/demo/Demo.java
+++ b/src/main/java/org/bulrushweir/demo/Demo.java
@@ -18,6 +18,9 @@
 /** Plays returning chats and bookings through a small fleet, with a fault midway, and reports. */
 public final class Demo {
 
+  /** How long gateways may take to stop, in milliseconds; no balancer has to notice. */
+  private static final long GRACE_MS = 1_000;
+
   private static final int GATEWAYS = 2;
   private static final int ENGINES = 3;
   private static final int ORDER_ENDPOINTS = 2;
@@ -51,7 +54,7 @@
    * @return true if no booking ran twice and nearly all requests were served
    */
   public boolean run(final int requests, final PrintStream log) {
-    try (DemoFleet fleet = new DemoFleet(log);
+    try (DemoFleet fleet = new DemoFleet(log, GRACE_MS);
         DemoCaller caller = new DemoCaller();
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
       final List<Integer> ports = start(fleet);
--- a/src/main/java/org/bulrushweir/demo/DemoFleet.java
+++ b/src/main/java/org/bulrushweir/demo/DemoFleet.java
@@ -38,14 +38,17 @@
   private final List<AsyncLogWriter> logs = new ArrayList<>();
   private final PlatformStandIn platform = new PlatformStandIn(HOST, 0, new SystemClock(), 0);
   private final PrintStream log;
+  private final long graceMs;
 
   /**
    * Starts a fleet of the platform only.
    *
    * @param log takes the gateways' logs
+   * @param graceMs how long gateways may take to stop, in milliseconds
    */
-  public DemoFleet(final PrintStream log) {
+  public DemoFleet(final PrintStream log, final long graceMs) {
     this.log = log;
+    this.graceMs = graceMs;
     configure(1);
   }
 
@@ -114,7 +117,7 @@
             """
             node = "%s"
             availability_zone = "zone-1"
-            grace_ms = 4000
+            grace_ms = %d
             [listen]
             callers = "127.0.0.1:0"
             readiness = "127.0.0.1:0"
@@ -123,7 +126,7 @@
             [platform]
             url = "http://127.0.0.1:%d"
             """
-                .formatted(name, platform.port()));
+                .formatted(name, graceMs, platform.port()));
     final AsyncLogWriter writer = new AsyncLogWriter(log, AsyncLogWriter.DEFAULT_CAPACITY);
     final Kernel kernel = DaggerGatewayComponent.factory().create(settings, writer).kernel();
     kernel.start();
--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -119,6 +119,11 @@
     idle.computeIfAbsent(connection.endpoint(), key -> new ArrayDeque<>()).addLast(connection);
   }
 
+  /**
+   * Forgets a connection that is closed.
+   *
+   * @param connection the connection
+   */
   void closed(final EndpointConnection connection) {
     final Deque<EndpointConnection> connections = idle.get(connection.endpoint());
     if (connections != null && connections.remove(connection) && connections.isEmpty()) {
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -84,6 +84,11 @@
     handle(new RelayEvent.CallerGone());
   }
 
+  /**
+   * Notes whether the caller reads as fast as the answer comes.
+   *
+   * @param writable false to stop reading the endpoint's answer for now
+   */
   void callerWritable(final boolean writable) {
     if (current != null && current.connection != null) {
       current.connection.reading(writable);
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -270,6 +270,14 @@
     log.offer(line("caller_failed", "", "", "", 0, 0, -1, 0, "closed", cause.toString()));
   }
 
+  /**
+   * Chooses an endpoint for a request.
+   *
+   * @param order the request
+   * @param excluded endpoints that it has been to
+   * @param nowMs the current time
+   * @return the endpoint, empty if none takes new work
+   */
   Optional<EndpointId> choose(
       final ExchangeOrder order, final Set<EndpointId> excluded, final long nowMs) {
     return selector.choose(
@@ -292,6 +300,14 @@
     return directory.find(endpoint);
   }
 
+  /**
+   * Notes an attempt without a whole answer.
+   *
+   * @param order the request
+   * @param endpoint where it was sent
+   * @param result what became of it
+   * @param detail what happened
+   */
   void attemptFailed(
       final ExchangeOrder order,
       final EndpointId endpoint,
@@ -312,6 +328,12 @@
             detail));
   }
 
+  /**
+   * Notes the end of a request.
+   *
+   * @param order the request
+   * @param result how it came to its end
+   */
   void finished(final ExchangeOrder order, final ExchangeResult result) {
     inFlight--;
     final long totalMs = clock.nowMs() - order.arrivedMs();
--- a/src/main/java/org/bulrushweir/platform/EndpointSide.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointSide.java
@@ -113,9 +113,9 @@
       final ZoneName zone,
       final int slots,
       final boolean draining) {
-    return """
-        {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":%d,"state":"%s",\
-        "cold_remaining_ms":0,"sequence":1}"""
-        .formatted(service, address, zone, slots, draining ? "draining" : "ready");
+    return String.format(
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
+            + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1}",
+        service, address, zone, slots, draining ? "draining" : "ready");
   }
 }
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -51,6 +51,12 @@
     return node.isObject();
   }
 
+  /**
+   * Reads a text.
+   *
+   * @param field the field
+   * @return the text, empty after a finding
+   */
   String text(final String field) {
     final JsonNode value = node.path(field);
     if (!value.isTextual()) {
@@ -60,6 +66,12 @@
     return value.textValue();
   }
 
+  /**
+   * Reads a whole number.
+   *
+   * @param field the field
+   * @return the number, zero after a finding
+   */
   long integer(final String field) {
     final JsonNode value = node.path(field);
     if (!value.isNumber()) {
@@ -73,6 +85,12 @@
     return has(field) ? integer(field) : fallback;
   }
 
+  /**
+   * Reads a truth value.
+   *
+   * @param field the field
+   * @return the value, false if it is missing
+   */
   boolean flag(final String field) {
     final JsonNode value = node.path(field);
     if (has(field) && !value.isBoolean()) {
--- a/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
@@ -101,12 +101,20 @@
    * @param draining whether it is about to leave
    */
   public void register(final boolean draining) {
-    final int port = ((InetSocketAddress) server.localAddress()).getPort();
     platform.put(
         SharedTable.ENDPOINTS,
         id.value(),
         EndpointSide.registration(
-            service, HOST + ':' + port, new ZoneName("zone-1"), SLOTS, draining));
+            service, HOST + ':' + port(), new ZoneName("zone-1"), SLOTS, draining));
+  }
+
+  /**
+   * Returns the port.
+   *
+   * @return the bound port
+   */
+  public int port() {
+    return ((InetSocketAddress) server.localAddress()).getPort();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
+++ b/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
@@ -2,10 +2,18 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Holds decisions free of I/O, and the other rules between packages. */
@@ -14,10 +22,13 @@
   private static final String[] DECISIONS = {
     "org.bulrushweir.admission..",
     "org.bulrushweir.affinity..",
+    "org.bulrushweir.balancing..",
+    "org.bulrushweir.catalog..",
     "org.bulrushweir.configuration..",
     "org.bulrushweir.delivery..",
     "org.bulrushweir.membership..",
     "org.bulrushweir.placement..",
+    "org.bulrushweir.relay..",
     "org.bulrushweir.routing..",
     "org.bulrushweir.runonce..",
   };
@@ -44,6 +55,8 @@
             "org.bulrushweir.wire..",
             "org.bulrushweir.node..",
             "org.bulrushweir.engine..",
+            "org.bulrushweir.gateway..",
+            "org.bulrushweir.store..",
             "org.bulrushweir.router..",
             "org.bulrushweir.sidecar..")
         .check(project);
@@ -64,6 +77,30 @@
         .check(project);
   }
 
+  /** The names of headers and calls on the users' platform stand in its adapter only. */
+  @Test
+  void nothingOutsideTheAdapterKnowsThePlatformsWords() throws IOException {
+    final Path main = Path.of("src/main/java/org/bulrushweir");
+    final Pattern words =
+        Pattern.compile(
+            "(?i)\"(x-(request-id|deadline-ms|prompt-prefix|response-seal|tenant|expect-instance"
+                + "|not-executed|request-priority|server-load|instance-id|hold|pin-ms|kv-backup)"
+                + "|kv-(fetch|from|events|list|move)|/?rows-(tx|get|feed|parts)|/?blob-.*)");
+    final List<String> found = new ArrayList<>();
+    try (Stream<Path> files = Files.walk(main)) {
+      for (final Path file : files.filter(it -> it.toString().endsWith(".java")).toList()) {
+        if (!file.startsWith(main.resolve("platform")) && words.matcher(read(file)).find()) {
+          found.add(file.toString());
+        }
+      }
+    }
+    assertEquals(List.of(), found);
+  }
+
+  private static String read(final Path file) throws IOException {
+    return Files.readString(file);
+  }
+
   @Test
   void apiNeedsNothingElse() {
     classes()
--- /dev/null
+++ b/src/test/java/org/bulrushweir/balancing/SimulatedRouters.java
@@ -0,0 +1,79 @@
+package org.bulrushweir.balancing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
+
+/** Some routers that choose among the same endpoints and tell each other what they have. */
+final class SimulatedRouters {
+
+  static final ServiceName SERVICE = new ServiceName("assistant");
+
+  private static final ZoneName ZONE = new ZoneName("zone-1");
+  private static final long MEMORY_TOKENS = 400_000;
+
+  final EndpointDirectory directory = new EndpointDirectory();
+  final List<EndpointBoard> boards = new ArrayList<>();
+  final List<EndpointSelector> selectors = new ArrayList<>();
+  private long sequence;
+
+  /**
+   * Creates routers that have sent nothing.
+   *
+   * @param routers how many routers
+   * @param endpoints how many endpoints
+   */
+  SimulatedRouters(final int routers, final int endpoints) {
+    for (int number = 1; number <= endpoints; number++) {
+      add(number, false);
+    }
+    for (int number = 0; number < routers; number++) {
+      final EndpointBoard board = new EndpointBoard(directory, service -> MEMORY_TOKENS);
+      boards.add(board);
+      selectors.add(new EndpointSelector(board, ZONE, new SelectorSettings(2, 69.8)));
+    }
+  }
+
+  /**
+   * Registers an endpoint.
+   *
+   * @param number its number
+   * @param draining whether it is about to leave
+   */
+  void add(final int number, final boolean draining) {
+    directory.put(
+        new EndpointRecord(
+            new EndpointId("e" + number), SERVICE, "10.0.0." + number, 80, ZONE, 128, draining, 0));
+  }
+
+  Optional<EndpointId> choose(final int router, final List<PromptPart> prompt, final long draw) {
+    return selectors.get(router).choose(SERVICE, prompt, draw, Set.of(), 0);
+  }
+
+  /** Lets all routers report to all others. */
+  void exchange(final long nowMs) {
+    sequence++;
+    for (int from = 0; from < boards.size(); from++) {
+      final PeerReport report =
+          new PeerReport(
+              new NodeId("router-" + from),
+              1,
+              sequence,
+              1,
+              boards.get(from).ownLoads(),
+              boards.get(from).takePlacements());
+      for (int to = 0; to < boards.size(); to++) {
+        if (to != from) {
+          boards.get(to).peerReported(report, nowMs);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -0,0 +1,83 @@
+package org.bulrushweir.catalog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.junit.jupiter.api.Test;
+
+/** Tests which endpoints exist. */
+class EndpointDirectoryTest {
+
+  private static final ServiceName SERVICE = new ServiceName("assistant");
+  private static final EndpointId E1 = new EndpointId("e1");
+  private static final EndpointId E2 = new EndpointId("e2");
+
+  private final EndpointDirectory directory = new EndpointDirectory();
+
+  private static EndpointRecord entry(final EndpointId id) {
+    return new EndpointRecord(id, SERVICE, "10.0.0.1", 80, new ZoneName("zone-1"), 8, false, 0);
+  }
+
+  private int count() {
+    return directory.endpoints(SERVICE).size();
+  }
+
+  @Test
+  void endpointThatLeavesIsGoneAtOnce() {
+    directory.put(entry(E1));
+    directory.put(entry(E2));
+    directory.remove(E1, 10_000);
+    assertEquals(1, count());
+  }
+
+  @Test
+  void registrationsThatLapseWithTheStoreAwayAreBelievedUntilTheyHadTimeToComeBack() {
+    directory.put(entry(E1));
+    directory.put(entry(E2));
+    directory.storeLost();
+    directory.storeRegained(20_000);
+    directory.replaceAll(List.of(), 20_000);
+    assertEquals(2, count());
+    directory.put(entry(E2));
+    directory.expire(20_000 + EndpointDirectory.LAPSE_GRACE_MS - 1);
+    assertEquals(2, count());
+    assertEquals(List.of(E1), directory.expire(20_000 + EndpointDirectory.LAPSE_GRACE_MS));
+    assertEquals(1, count());
+  }
+
+  @Test
+  void removalThatIsToldJustAfterTheReturnIsHeldToo() {
+    directory.put(entry(E1));
+    directory.storeLost();
+    directory.storeRegained(20_000);
+    directory.remove(E1, 21_000);
+    assertEquals(1, count());
+    directory.remove(E1, 30_000);
+    assertEquals(0, count());
+  }
+
+  @Test
+  void secondOutageStartsTheTimeAnew() {
+    directory.put(entry(E1));
+    directory.storeLost();
+    directory.storeRegained(20_000);
+    directory.remove(E1, 20_100);
+    directory.storeLost();
+    directory.storeRegained(25_000);
+    directory.expire(25_100);
+    assertEquals(1, count());
+    directory.expire(25_000 + EndpointDirectory.LAPSE_GRACE_MS);
+    assertEquals(0, count());
+  }
+
+  @Test
+  void changesAreCountedOnlyIfSomethingIsNew() {
+    directory.put(entry(E1));
+    final long before = directory.changes();
+    directory.put(entry(E1));
+    assertEquals(before, directory.changes());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/catalog/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of plans and the directory of endpoints. */
+package org.bulrushweir.catalog;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/BadInputTest.java
@@ -0,0 +1,156 @@
+package org.bulrushweir.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.SocketException;
+import org.bulrushweir.demo.DemoCall;
+import org.bulrushweir.demo.DemoCaller;
+import org.bulrushweir.demo.DemoFleet;
+import org.bulrushweir.standin.DirectEndpointStandIn;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that input that is not proper reaches no endpoint. */
+class BadInputTest {
+
+  private static final String HEAD =
+      "Host: orders.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-of-dispatch\r\n";
+
+  private static DemoFleet fleet;
+  private static DirectEndpointStandIn orders;
+  private static int port;
+
+  @BeforeAll
+  static void start() throws InterruptedException {
+    fleet = new DemoFleet(new PrintStream(OutputStream.nullOutputStream()), 0);
+    orders = fleet.startEndpoint("orders-1", DemoFleet.ORDERS, null);
+    port = fleet.startGateway("gateway-1").callersPort();
+    try (DemoCaller caller = new DemoCaller()) {
+      for (int number = 0; number < 200; number++) {
+        if (caller.send(port, DemoCall.lookup("ready" + number)).served()) {
+          return;
+        }
+        Thread.sleep(20);
+      }
+    }
+  }
+
+  @AfterAll
+  static void close() {
+    fleet.close();
+  }
+
+  private static String exchange(final String request) throws IOException {
+    try (RawCaller raw = new RawCaller(port)) {
+      raw.send(request);
+      return raw.read(400);
+    }
+  }
+
+  /** Both lengths, lengths that differ, lengths and codings in odd spellings. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: +4\r\n",
+        "Content-Length: 4, 4\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length : 4\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "X-Odd\u0000: 1\r\n",
+        "X-Odd: a\rb\r\n",
+      })
+  void lengthThatCanBeReadInTwoWaysIsRefusedAndTheConnectionCloses(final String headers)
+      throws IOException {
+    final String id = "bad" + Math.abs(headers.hashCode());
+    final String smuggled = "POST /book/2 HTTP/1.1\r\n" + HEAD.formatted(id + "-inner") + "\r\n";
+    try (RawCaller raw = new RawCaller(port)) {
+      raw.send("POST /book/1 HTTP/1.1\r\n" + HEAD.formatted(id) + headers + "\r\n0\r\n\r\n");
+      raw.send(smuggled);
+      final String answer = raw.read(500);
+      assertTrue(answer.startsWith("HTTP/1.1 400 "), headers + " -> " + answer);
+      assertEquals(answer.indexOf("HTTP/1.1 "), answer.lastIndexOf("HTTP/1.1 "), answer);
+      assertTrue(raw.isClosedByPeer());
+    } catch (SocketException e) {
+      // The gateway has closed the connection with bytes unread; nothing was run, see below.
+    }
+    assertFalse(orders.runs().containsKey(id));
+    assertFalse(orders.runs().containsKey(id + "-inner"));
+  }
+
+  @Test
+  void bodyBeyondTheLimitIsRefused() throws IOException {
+    final String answer =
+        exchange(
+            "POST /book/1 HTTP/1.1\r\n"
+                + HEAD.formatted("large")
+                + "Content-Length: 5000000\r\n\r\n");
+    assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+  }
+
+  @Test
+  void headBeyondTheLimitIsRefused() throws IOException {
+    final String answer =
+        exchange(
+            "GET /look/1 HTTP/1.1\r\n"
+                + HEAD.formatted("large-head")
+                + "X-Padding: "
+                + "a".repeat(20_000)
+                + "\r\n\r\n");
+    assertTrue(answer.startsWith("HTTP/1.1 431 "), answer);
+  }
+
+  @Test
+  void slowHeadIsGivenUp() throws IOException {
+    try (RawCaller raw = new RawCaller(port)) {
+      raw.send("GET /look/1 HTTP/1.1\r\nHost: orders");
+      final String answer = raw.read(7_000);
+      assertTrue(answer.startsWith("HTTP/1.1 408 "), answer);
+    }
+  }
+
+  @Test
+  void requestsThatWaitOnOneConnectionAreAnsweredInOrder() throws IOException {
+    final String answers =
+        exchange(
+            "GET /look/1 HTTP/1.1\r\n"
+                + HEAD.formatted("p1")
+                + "\r\nGET /look/1 HTTP/1.1\r\n"
+                + HEAD.formatted("p2")
+                + "Connection: close\r\n\r\n");
+    assertTrue(answers.indexOf("answer to p1") >= 0, answers);
+    assertTrue(answers.indexOf("answer to p2") > answers.indexOf("answer to p1"), answers);
+  }
+
+  @Test
+  void chunkedBodyIsReadWhole() throws IOException {
+    final String answer =
+        exchange(
+            "POST /book/1 HTTP/1.1\r\n"
+                + HEAD.formatted("chunks")
+                + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                + "4\r\nabcd\r\n2\r\nef\r\n0\r\n\r\n");
+    assertTrue(answer.contains("answer to chunks"), answer);
+  }
+
+  @Test
+  void missingHostOrIdIsRefused() throws IOException {
+    assertTrue(
+        exchange("GET /look/1 HTTP/1.1\r\nX-Request-Id: a\r\n\r\n").startsWith("HTTP/1.1 400 "));
+    assertTrue(
+        exchange("GET /look/1 HTTP/1.1\r\nHost: orders.example\r\n\r\n")
+            .startsWith("HTTP/1.1 400 "));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/GatewayTest.java
@@ -0,0 +1,275 @@
+package org.bulrushweir.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.demo.DemoAnswer;
+import org.bulrushweir.demo.DemoCall;
+import org.bulrushweir.demo.DemoCaller;
+import org.bulrushweir.demo.DemoFleet;
+import org.bulrushweir.platform.EndpointSide;
+import org.bulrushweir.platform.ExampleConfiguration;
+import org.bulrushweir.standin.DirectEndpointStandIn;
+import org.bulrushweir.standin.EndpointFault;
+import org.bulrushweir.standin.PlatformFaults;
+import org.bulrushweir.standin.StandInStream;
+import org.bulrushweir.store.SharedTable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests a gateway on real sockets, between callers and endpoints that misbehave. */
+class GatewayTest {
+
+  private static final StandInStream STREAM = new StandInStream(10, 5, 5);
+  private static final long WAIT_MS = 4_000;
+
+  private final DemoFleet fleet =
+      new DemoFleet(new PrintStream(OutputStream.nullOutputStream()), 0);
+  private final DemoCaller caller = new DemoCaller();
+  private DirectEndpointStandIn engine1;
+  private DirectEndpointStandIn engine2;
+  private DirectEndpointStandIn orders1;
+  private DirectEndpointStandIn orders2;
+  private GatewayService gateway;
+
+  @BeforeEach
+  void start() throws InterruptedException {
+    engine1 = fleet.startEndpoint("engine-1", DemoFleet.ASSISTANT, STREAM);
+    engine2 = fleet.startEndpoint("engine-2", DemoFleet.ASSISTANT, STREAM);
+    orders1 = fleet.startEndpoint("orders-1", DemoFleet.ORDERS, null);
+    orders2 = fleet.startEndpoint("orders-2", DemoFleet.ORDERS, null);
+    gateway = fleet.startGateway("gateway-1");
+    awaitStatus(DemoCall.lookup("ready"), 200);
+  }
+
+  @AfterEach
+  void close() {
+    caller.close();
+    fleet.close();
+  }
+
+  private DemoAnswer send(final DemoCall call) {
+    return caller.send(gateway.callersPort(), call);
+  }
+
+  private void awaitStatus(final DemoCall call, final int status) throws InterruptedException {
+    final long untilMs = System.currentTimeMillis() + WAIT_MS;
+    int number = 0;
+    DemoAnswer answer = send(call);
+    while (answer.status() != status && System.currentTimeMillis() < untilMs) {
+      Thread.sleep(20);
+      number++;
+      answer =
+          send(
+              new DemoCall(
+                  call.requestId() + '-' + number,
+                  call.host(),
+                  call.path(),
+                  call.key(),
+                  call.promptParts(),
+                  call.body()));
+    }
+    assertEquals(status, answer.status());
+  }
+
+  private static String wholeStream() {
+    final StringBuilder text = new StringBuilder();
+    for (int event = 0; event < STREAM.events(); event++) {
+      text.append("id: ").append(event).append("\ndata: part ").append(event).append("\n\n");
+    }
+    return text.toString();
+  }
+
+  private int runs(final String requestId) {
+    return fleet.endpoints().values().stream()
+        .mapToInt(endpoint -> endpoint.runs().getOrDefault(requestId, 0))
+        .sum();
+  }
+
+  private void orders(final EndpointFault fault) {
+    orders1.misbehaveAs(fault);
+    orders2.misbehaveAs(fault);
+  }
+
+  @Test
+  void streamsAndCallsAreAnsweredWhole() {
+    assertEquals(wholeStream(), send(DemoCall.draft("d1", 1)).body());
+    assertEquals(wholeStream(), send(DemoCall.review("r1", 1)).body());
+    assertEquals("answer to b1", send(DemoCall.booking("b1")).body());
+    assertTrue(
+        Set.of(
+                orders1.organisations().getOrDefault("b1", ""),
+                orders2.organisations().getOrDefault("b1", ""))
+            .contains("dispatch"));
+  }
+
+  @Test
+  void resumableStreamSurvivesAnEndpointThatBreaksOff() {
+    engine1.misbehaveAs(EndpointFault.CUT);
+    for (int number = 0; number < 6; number++) {
+      assertEquals(wholeStream(), send(DemoCall.draft("d" + number, number)).body());
+    }
+  }
+
+  @Test
+  void streamThatMayNotBeResumedNeverLooksWholeWhenItIsNot() {
+    engine1.misbehaveAs(EndpointFault.CUT);
+    engine2.misbehaveAs(EndpointFault.CUT);
+    final DemoAnswer answer = send(DemoCall.review("r1", 1));
+    assertEquals(0, answer.status(), answer.body());
+    assertEquals(1, runs("r1"));
+  }
+
+  @Test
+  void bookingThatMayHaveRunIsNeitherRepeatedNorCalledNotRun() {
+    for (final EndpointFault fault :
+        Set.of(
+            EndpointFault.RESET,
+            EndpointFault.CUT,
+            EndpointFault.GARBAGE,
+            EndpointFault.UNSEALED)) {
+      orders(fault);
+      final DemoAnswer answer = send(DemoCall.booking("b-" + fault));
+      assertEquals(502, answer.status(), fault + ": " + answer.body());
+      assertEquals(1, runs("b-" + fault));
+    }
+  }
+
+  @Test
+  void bookingThatEndpointsRefuseWithProofIsCalledNotRun() {
+    orders(EndpointFault.SHED);
+    final DemoAnswer answer = send(DemoCall.booking("b1"));
+    assertEquals(503, answer.status());
+    assertFalse(answer.retryAfter().isEmpty());
+    assertEquals(0, runs("b1"));
+  }
+
+  @Test
+  void refusalWithoutProofIsNotPassedOnAsPromise() {
+    orders(EndpointFault.SHED_UNPROVEN);
+    assertEquals(502, send(DemoCall.booking("b1")).status());
+  }
+
+  @Test
+  void hangingBookingEndsAtItsRoutesTimeout() {
+    orders(EndpointFault.HANG);
+    final DemoAnswer answer = send(DemoCall.booking("b1"));
+    assertEquals(504, answer.status());
+    assertTrue(answer.totalMs() >= 1_100 && answer.totalMs() < 1_700, answer.totalMs() + " ms");
+    assertEquals(1, runs("b1"));
+  }
+
+  @Test
+  void lookupGoesElsewhereWhenAnEndpointHangsOrFails() {
+    for (final EndpointFault fault : Set.of(EndpointFault.HANG, EndpointFault.ERROR)) {
+      orders1.misbehaveAs(fault);
+      for (int number = 0; number < 4; number++) {
+        assertEquals(
+            "answer to l" + fault + number, send(DemoCall.lookup("l" + fault + number)).body());
+      }
+    }
+  }
+
+  @Test
+  void answersOfOtherRequestsReachNobody() {
+    orders(EndpointFault.FOREIGN_FIRST);
+    assertEquals("answer to b1", send(DemoCall.booking("b1")).body());
+    orders(EndpointFault.EXTRA);
+    for (int number = 0; number < 6; number++) {
+      assertEquals("answer to x" + number, send(DemoCall.lookup("x" + number)).body());
+    }
+  }
+
+  @Test
+  void endpointThatLeavesGetsNoNewWork() throws InterruptedException {
+    orders1.register(true);
+    Thread.sleep(300);
+    for (int number = 0; number < 10; number++) {
+      assertTrue(send(DemoCall.booking("b" + number)).served());
+    }
+    assertEquals(10, orders2.runs().keySet().stream().filter(id -> id.startsWith("b")).count());
+  }
+
+  @Test
+  void addressThatBelongsToAnotherEndpointNowRunsNothing() throws InterruptedException {
+    fleet.platform().put(SharedTable.ENDPOINTS, "orders-1", null);
+    fleet.platform().put(SharedTable.ENDPOINTS, "orders-2", null);
+    fleet
+        .platform()
+        .put(
+            SharedTable.ENDPOINTS,
+            "orders-9",
+            EndpointSide.registration(
+                DemoFleet.ORDERS, "127.0.0.1:" + orders1.port(), new ZoneName("zone-1"), 8, false));
+    Thread.sleep(300);
+    assertEquals(503, send(DemoCall.booking("b1")).status());
+    assertEquals(0, runs("b1"));
+  }
+
+  @Test
+  void changesAreInForceWithinTwoSecondsAndKeysThatAreTakenAwayNoLongerOpen()
+      throws InterruptedException {
+    assertTrue(send(DemoCall.booking("b1")).served());
+    fleet.configure(ExampleConfiguration.text(5).replace("key-of-dispatch", "another-key"));
+    awaitStatus(DemoCall.booking("b2"), 401);
+    fleet.configure(ExampleConfiguration.text(4));
+    Thread.sleep(300);
+    assertEquals(401, send(DemoCall.booking("b3")).status(), "an older version changes nothing");
+  }
+
+  @Test
+  void processThatMayBeBehindDeniesNothingForGood() throws InterruptedException {
+    final DemoCall unknown = new DemoCall("u1", "chat.example", "/new/", DemoCall.KEY, "", "");
+    assertEquals(404, send(unknown).status());
+    fleet.platform().misbehaveAs(new PlatformFaults(true, false, 0, 0, 0, false));
+    awaitStatus(unknown, 503);
+    assertTrue(send(DemoCall.booking("b1")).served(), "what is known is served on");
+    fleet.platform().misbehaveAs(PlatformFaults.NONE);
+    awaitStatus(unknown, 404);
+  }
+
+  @Test
+  void registrationsThatLapseInAnOutageAreBelievedForTwoSeconds() throws InterruptedException {
+    fleet.platform().misbehaveAs(new PlatformFaults(true, false, 0, 0, 0, false));
+    Thread.sleep(2_000);
+    fleet.platform().put(SharedTable.ENDPOINTS, "orders-1", null);
+    fleet.platform().put(SharedTable.ENDPOINTS, "orders-2", null);
+    fleet.platform().misbehaveAs(PlatformFaults.NONE);
+    Thread.sleep(1_200);
+    assertTrue(send(DemoCall.booking("b1")).served());
+    orders1.register(false);
+    Thread.sleep(3_000);
+    assertTrue(send(DemoCall.booking("b2")).served());
+    assertEquals(1, orders1.runs().getOrDefault("b2", 0));
+  }
+
+  @Test
+  void gatewayWithoutConfigurationIsNotReadyAndDeniesNothing() {
+    fleet.platform().misbehaveAs(new PlatformFaults(true, false, 0, 0, 0, false));
+    final GatewayService second = fleet.startGateway("gateway-2");
+    final DemoAnswer answer = caller.send(second.callersPort(), DemoCall.booking("b1"));
+    assertEquals(503, answer.status());
+    final DemoAnswer ready =
+        caller.send(second.statusPort(), new DemoCall("r", "x", "/ready", DemoCall.KEY, "", ""));
+    assertEquals(503, ready.status());
+  }
+
+  @Test
+  void manyCallersAtOnceGetTheirOwnAnswers() {
+    final CompletableFuture<?>[] answers = new CompletableFuture<?>[60];
+    for (int number = 0; number < answers.length; number++) {
+      final String id = "m" + number;
+      answers[number] =
+          CompletableFuture.runAsync(
+              () -> assertEquals("answer to " + id, send(DemoCall.lookup(id)).body()));
+    }
+    CompletableFuture.allOf(answers).join();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of gateways on real sockets, against stand-ins. */
+package org.bulrushweir.gateway;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the log. */
+package org.bulrushweir.logging;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/platform/EndpointDecoderTest.java
@@ -0,0 +1,53 @@
+package org.bulrushweir.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.catalog.EndpointRecord;
+import org.junit.jupiter.api.Test;
+
+/** Tests the decoding of registrations, some of which others have written. */
+class EndpointDecoderTest {
+
+  private static final String PROPER =
+      EndpointSide.registration(
+          new ServiceName("assistant"), "10.0.0.1:80", new ZoneName("zone-1"), 8, false);
+
+  private final FindingCollector findings = new FindingCollector();
+
+  private Optional<EndpointRecord> decode(final String text) {
+    return new EndpointDecoder().decode("i-1", text, findings);
+  }
+
+  @Test
+  void properRegistrationIsDecoded() {
+    final EndpointRecord entry = decode(PROPER).orElseThrow();
+    assertEquals("10.0.0.1", entry.host());
+    assertEquals(80, entry.port());
+    assertFalse(entry.draining());
+    assertEquals(0, entry.startedAtMs());
+  }
+
+  @Test
+  void restartIsToldApart() {
+    final String born = PROPER.replace("\"sequence\"", "\"born\":1700000000000,\"sequence\"");
+    assertEquals(1_700_000_000_000L, decode(born).orElseThrow().startedAtMs());
+  }
+
+  @Test
+  void foreignEntriesNameNoEndpoint() {
+    assertTrue(decode("not json").isEmpty());
+    assertTrue(decode("[]").isEmpty());
+    assertTrue(decode(PROPER.replace("\"ready\"", "\"resting\"")).isEmpty());
+    assertTrue(decode(PROPER.replace("10.0.0.1:80", "10.0.0.1")).isEmpty());
+    assertTrue(decode(PROPER.replace("10.0.0.1:80", "host.example:80")).isEmpty());
+    assertTrue(decode(PROPER.replace("\"slots\":8", "\"slots\":\"8\"")).isEmpty());
+    assertTrue(decode(PROPER.replace("\"service\"", "\"servis\"")).isEmpty());
+    assertFalse(findings.isEmpty());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
@@ -0,0 +1,114 @@
+package org.bulrushweir.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import org.bulrushweir.kernel.SystemClock;
+import org.bulrushweir.standin.PlatformFaults;
+import org.bulrushweir.standin.PlatformStandIn;
+import org.bulrushweir.store.ChangePage;
+import org.bulrushweir.store.CommitResult;
+import org.bulrushweir.store.HistoryLostException;
+import org.bulrushweir.store.PlatformException;
+import org.bulrushweir.store.Row;
+import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.store.Transaction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the client of the store against the stand-in. */
+class HttpPlatformStoreTest {
+
+  private static final long TIMEOUT_MS = 400;
+
+  private final PlatformStandIn platform =
+      new PlatformStandIn("127.0.0.1", 0, new SystemClock(), 0);
+  private final OkHttpClient client = new OkHttpClient();
+  private final HttpPlatformStore store =
+      new HttpPlatformStore(client, HttpUrl.get("http://127.0.0.1:" + platform.port()), TIMEOUT_MS);
+
+  @AfterEach
+  void close() {
+    client.dispatcher().executorService().shutdown();
+    client.connectionPool().evictAll();
+    platform.close();
+  }
+
+  @Test
+  void racingWritersGetOneWinnerAndTheOtherItsRow() {
+    assertInstanceOf(
+        CommitResult.Committed.class, store.commit(Transaction.insert("a", "one")).join());
+    final CommitResult second = store.commit(Transaction.insert("a", "two")).join();
+    assertEquals("one", assertInstanceOf(CommitResult.Conflict.class, second).current().value());
+    final Row row = store.read("a").join();
+    store.commit(Transaction.delete(row)).join();
+    assertFalse(store.read("a").join().exists());
+  }
+
+  @Test
+  void scanReadsKeysThatStartAlike() {
+    for (final String key : List.of("a/1", "a/2", "b/1")) {
+      store.commit(Transaction.insert(key, key)).join();
+    }
+    assertEquals(List.of("a/1", "a/2"), store.scan("a/").join().stream().map(Row::key).toList());
+  }
+
+  @Test
+  void lostAnswerLeavesTheEffectOpen() {
+    platform.misbehaveAs(new PlatformFaults(false, false, 0, 1, 0, false));
+    final CompletionException failure =
+        assertThrows(
+            CompletionException.class, () -> store.commit(Transaction.insert("a", "x")).join());
+    assertTrue(assertInstanceOf(PlatformException.class, failure.getCause()).effectPossible());
+    assertEquals("x", store.read("a").join().value());
+  }
+
+  @Test
+  void refusalHasCertainlyNoEffect() {
+    platform.misbehaveAs(new PlatformFaults(true, false, 0, 0, 0, false));
+    final CompletionException failure =
+        assertThrows(
+            CompletionException.class, () -> store.commit(Transaction.insert("a", "x")).join());
+    assertFalse(assertInstanceOf(PlatformException.class, failure.getCause()).effectPossible());
+  }
+
+  @Test
+  void changesAreToldAsTheyHappenAndRemovalsToo() {
+    final ChangePage start = store.snapshot(SharedTable.ENDPOINTS).join();
+    final CompletableFuture<ChangePage> waiting =
+        store.changes(SharedTable.ENDPOINTS, start.version(), 5_000);
+    platform.put(SharedTable.CONFIGURATION, "config", "of another table");
+    platform.put(SharedTable.ENDPOINTS, "i-1", "here");
+    final ChangePage first = waiting.join();
+    assertEquals(Optional.of("here"), first.rows().getFirst().value());
+    platform.put(SharedTable.ENDPOINTS, "i-1", null);
+    final ChangePage second = store.changes(SharedTable.ENDPOINTS, first.version(), 5_000).join();
+    assertEquals(Optional.empty(), second.rows().getFirst().value());
+  }
+
+  @Test
+  void pollWithoutChangesAnswersAfterItsWait() {
+    final ChangePage start = store.snapshot(SharedTable.ENDPOINTS).join();
+    assertEquals(
+        List.of(), store.changes(SharedTable.ENDPOINTS, start.version(), 100).join().rows());
+  }
+
+  @Test
+  void droppedHistoryIsReported() {
+    platform.put(SharedTable.ENDPOINTS, "i-1", "here");
+    platform.misbehaveAs(new PlatformFaults(false, false, 0, 0, 0, true));
+    final CompletionException failure =
+        assertThrows(
+            CompletionException.class, () -> store.changes(SharedTable.ENDPOINTS, 0, 100).join());
+    assertInstanceOf(HistoryLostException.class, failure.getCause());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -0,0 +1,55 @@
+package org.bulrushweir.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.OrganisationId;
+import org.bulrushweir.catalog.RequestKind;
+import org.bulrushweir.catalog.Route;
+import org.bulrushweir.catalog.RoutingPlan;
+import org.junit.jupiter.api.Test;
+
+/** Tests the decoding of configurations. */
+class RoutingPlanDecoderTest {
+
+  private final RoutingPlanDecoder decoder = new RoutingPlanDecoder();
+  private final FindingCollector findings = new FindingCollector();
+
+  @Test
+  void exampleIsDecodedWhole() {
+    final RoutingPlan plan = decoder.decode(ExampleConfiguration.text(7), findings).orElseThrow();
+    assertTrue(findings.isEmpty());
+    assertEquals(7, plan.version());
+    assertEquals(4, plan.routeCount());
+    final Route draft = plan.route("chat.example", "/draft/1").orElseThrow();
+    assertEquals(RequestKind.STREAM, draft.kind());
+    assertTrue(draft.repeatable());
+    assertEquals(4_000, draft.timeoutMs());
+    assertEquals(2, draft.maxAttempts());
+    assertFalse(plan.route("orders.example", "/book/1").orElseThrow().repeatable());
+    assertEquals(
+        new OrganisationId("warehouse"),
+        plan.tenant("key-of-warehouse").orElseThrow().organisation());
+    assertEquals(15_000, plan.limits().idleTimeoutMs());
+  }
+
+  @Test
+  void routeThatCanNotBeReadIsLeftOutAndTheOthersHold() {
+    final String text =
+        ExampleConfiguration.text(7).replaceFirst("\"kind\": \"safe\"", "\"kind\": \"odd\"");
+    final RoutingPlan plan = decoder.decode(text, findings).orElseThrow();
+    assertEquals(3, plan.routeCount());
+    assertEquals(
+        "configuration.routes[3]: \"kind\" is none that is known",
+        findings.findings().getFirst().toString());
+  }
+
+  @Test
+  void textThatIsNoConfigurationIsRefused() {
+    assertTrue(decoder.decode("{\"version\": 3}", findings).isEmpty());
+    assertTrue(decoder.decode("{", findings).isEmpty());
+    assertEquals(2, findings.findings().size());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the adapter to the users' platform. */
+package org.bulrushweir.platform;
--- /dev/null
+++ b/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
@@ -0,0 +1,196 @@
+package org.bulrushweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.bulrushweir.api.EndpointId;
+import org.junit.jupiter.api.Test;
+
+/** Tests how one request comes to its end. */
+class RelayMachineTest {
+
+  private static final AttemptId FIRST = new AttemptId(1);
+  private static final AttemptId SECOND = new AttemptId(2);
+  private static final EndpointId E1 = new EndpointId("e1");
+  private static final EndpointId E2 = new EndpointId("e2");
+  private static final RelayLimits UNSAFE = new RelayLimits(false, false, 1, 1_000, 400, 400);
+  private static final RelayLimits SAFE = new RelayLimits(true, false, 2, 1_000, 400, 400);
+  private static final RelayLimits RESUMABLE = new RelayLimits(true, true, 2, 4_000, 1_200, 1_000);
+  private static final AnswerHead OK = new AnswerHead(200, true, false, 0);
+  private static final AnswerHead ERROR = new AnswerHead(500, true, false, 0);
+  private static final AnswerHead REFUSED = new AnswerHead(503, true, true, 300);
+  private static final AnswerHead UNPROVEN = new AnswerHead(503, true, false, 0);
+  private static final AnswerHead FORGED = new AnswerHead(200, false, false, 0);
+
+  private static RelayMachine started(final RelayLimits limits, final EndpointSource endpoints) {
+    final RelayMachine machine = new RelayMachine(limits, endpoints);
+    assertEquals(List.of(new RelayAction.Send(FIRST, E1, false)), machine.start(0));
+    return machine;
+  }
+
+  private static RelayMachine sent(final RelayLimits limits, final EndpointSource endpoints) {
+    final RelayMachine machine = started(limits, endpoints);
+    assertEquals(List.of(), machine.on(new RelayEvent.Sent(FIRST), 1));
+    return machine;
+  }
+
+  private static RefusalReason reason(final List<RelayAction> actions) {
+    return assertInstanceOf(RelayAction.Refuse.class, actions.getLast()).refusal().reason();
+  }
+
+  @Test
+  void wholeAnswerIsPassedOn() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(
+        List.of(new RelayAction.PassOn(FIRST)), machine.on(new RelayEvent.Answered(FIRST, OK), 10));
+    assertEquals(List.of(new RelayAction.Complete()), machine.on(new RelayEvent.Ended(FIRST), 20));
+    assertTrue(machine.isFinished());
+  }
+
+  @Test
+  void requestWithoutEndpointsIsRefusedAtOnce() {
+    final RelayMachine machine = new RelayMachine(UNSAFE, new ScriptedEndpoints(0, 1));
+    final List<RelayAction> actions = machine.start(0);
+    assertEquals(RefusalReason.NOT_RUN, reason(actions));
+    assertEquals(
+        ScriptedEndpoints.RETRY_AFTER_MS,
+        ((RelayAction.Refuse) actions.getLast()).refusal().retryAfterMs());
+  }
+
+  @Test
+  void unsafeRequestThatMayHaveRunIsNotRepeated() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 5));
+    assertEquals(
+        RefusalReason.FAILED, reason(machine.on(new RelayEvent.Broken(FIRST, "reset"), 10)));
+  }
+
+  @Test
+  void unsafeRequestThatWasNotSentGoesElsewhere() {
+    final RelayMachine machine = started(UNSAFE, new ScriptedEndpoints(2, 0));
+    assertEquals(
+        List.of(new RelayAction.Send(SECOND, E2, false)),
+        machine.on(new RelayEvent.NotSent(FIRST, "refused"), 10));
+  }
+
+  @Test
+  void refusalWithProofGoesElsewhereWithinTheBudget() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(
+        List.of(new RelayAction.Abort(FIRST), new RelayAction.Send(SECOND, E2, false)),
+        machine.on(new RelayEvent.Answered(FIRST, REFUSED), 10));
+    machine.on(new RelayEvent.Sent(SECOND), 11);
+    final List<RelayAction> actions = machine.on(new RelayEvent.Answered(SECOND, REFUSED), 12);
+    assertEquals(RefusalReason.NOT_RUN, reason(actions));
+    assertEquals(300, ((RelayAction.Refuse) actions.getLast()).refusal().retryAfterMs());
+  }
+
+  @Test
+  void refusalWithoutProofPromisesNothing() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(
+        RefusalReason.FAILED, reason(machine.on(new RelayEvent.Answered(FIRST, UNPROVEN), 10)));
+  }
+
+  @Test
+  void successThatNoEndpointMadeIsNotPassedOn() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(
+        RefusalReason.FAILED, reason(machine.on(new RelayEvent.Answered(FIRST, FORGED), 10)));
+  }
+
+  @Test
+  void errorOfSafeRequestIsRepeatedAndOtherwisePassedOn() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(
+        List.of(new RelayAction.Abort(FIRST), new RelayAction.Send(SECOND, E2, false)),
+        machine.on(new RelayEvent.Answered(FIRST, ERROR), 10));
+    assertEquals(
+        List.of(new RelayAction.PassOn(SECOND)),
+        machine.on(new RelayEvent.Answered(SECOND, ERROR), 20));
+  }
+
+  @Test
+  void errorIsPassedOnWhereTheBudgetIsUsedUp() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(2, 0));
+    assertEquals(
+        List.of(new RelayAction.PassOn(FIRST)),
+        machine.on(new RelayEvent.Answered(FIRST, ERROR), 10));
+  }
+
+  @Test
+  void brokenStreamGoesOnElsewhere() {
+    final RelayMachine machine = sent(RESUMABLE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.Answered(FIRST, OK), 10);
+    assertEquals(
+        List.of(new RelayAction.Send(SECOND, E2, true)),
+        machine.on(new RelayEvent.Broken(FIRST, "reset"), 20));
+    assertEquals(
+        List.of(new RelayAction.Continue(SECOND)),
+        machine.on(new RelayEvent.Answered(SECOND, OK), 30));
+    assertEquals(List.of(new RelayAction.Complete()), machine.on(new RelayEvent.Ended(SECOND), 40));
+  }
+
+  @Test
+  void silentStreamIsAbortedBeforeItGoesOnElsewhere() {
+    final RelayMachine machine = sent(RESUMABLE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.Answered(FIRST, OK), 10);
+    assertEquals(1_010, machine.nextTickMs());
+    assertEquals(
+        List.of(new RelayAction.Abort(FIRST), new RelayAction.Send(SECOND, E2, true)),
+        machine.on(new RelayEvent.Tick(), 1_010));
+  }
+
+  @Test
+  void silentEndpointKeepsTheRequestThatHasNowhereElseToGo() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(1, 1));
+    assertEquals(List.of(), machine.on(new RelayEvent.Tick(), 500));
+    assertEquals(
+        List.of(new RelayAction.PassOn(FIRST)),
+        machine.on(new RelayEvent.Answered(FIRST, OK), 600));
+  }
+
+  @Test
+  void brokenStreamThatMayNotBeResumedIsBrokenOff() {
+    final RelayLimits limits = new RelayLimits(false, false, 1, 4_000, 1_200, 1_000);
+    final RelayMachine machine = sent(limits, new ScriptedEndpoints(2, 5));
+    machine.on(new RelayEvent.Answered(FIRST, OK), 10);
+    assertEquals(
+        List.of(new RelayAction.BreakOff("reset")),
+        machine.on(new RelayEvent.Broken(FIRST, "reset"), 20));
+  }
+
+  @Test
+  void timeIsUpWithAnAnswerAtOnce() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(1, 0));
+    assertEquals(1_000, machine.nextTickMs());
+    final List<RelayAction> actions = machine.on(new RelayEvent.Tick(), 1_000);
+    assertEquals(new RelayAction.Abort(FIRST), actions.getFirst());
+    assertEquals(RefusalReason.TIMED_OUT, reason(actions));
+  }
+
+  @Test
+  void requestThatWasNeverSentHasNotRunWhenItsTimeIsUp() {
+    final RelayMachine machine = started(UNSAFE, new ScriptedEndpoints(1, 0));
+    assertEquals(RefusalReason.NOT_RUN, reason(machine.on(new RelayEvent.Tick(), 1_000)));
+  }
+
+  @Test
+  void callerThatLeavesEndsTheRun() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(2, 5));
+    assertEquals(List.of(new RelayAction.Abort(FIRST)), machine.on(new RelayEvent.CallerGone(), 5));
+    assertEquals(List.of(), machine.on(new RelayEvent.Broken(FIRST, "closed"), 6));
+  }
+
+  @Test
+  void eventsOfAttemptsThatAreOverChangeNothing() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.Tick(), 401);
+    assertEquals(List.of(), machine.on(new RelayEvent.Answered(FIRST, OK), 402));
+    assertEquals(List.of(), machine.on(new RelayEvent.Ended(FIRST), 403));
+    assertEquals(
+        List.of(new RelayAction.PassOn(SECOND)),
+        machine.on(new RelayEvent.Answered(SECOND, OK), 404));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how requests come to their end. */
+package org.bulrushweir.relay;
