--- a/src/main/java/org/bulrushweir/gateway/CallerConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerConnection.java
@@ -7,6 +7,20 @@
 /** The connection on which a caller waits for an answer. */
 interface CallerConnection {
 
+  /**
+   * Names the exchange that answers the request.
+   *
+   * @param started learns when the caller leaves
+   */
+  void exchange(Exchange started);
+
+  /**
+   * Tells whether the caller is still there.
+   *
+   * @return false after the connection was closed
+   */
+  boolean isOpen();
+
   /**
    * Begins an answer.
    *
--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -156,10 +156,17 @@
     final ByteBuf servedBody = body;
     request = null;
     body = null;
-    final Exchange started = core.serve(this, served, servedBody);
-    if (answering) {
-      exchange = started;
-    }
+    core.serve(this, served, servedBody);
+  }
+
+  @Override
+  public void exchange(final Exchange started) {
+    exchange = started;
+  }
+
+  @Override
+  public boolean isOpen() {
+    return context.channel().isActive();
   }
 
   /** Refuses a request whose end can't be found or is not worth reading, and closes. */
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -66,6 +66,7 @@
   private final GatewayMetrics metrics;
   private final AsyncLogWriter log;
   private final DrainPolicy drainPolicy;
+  private final StartGate gate;
   private long drainingSinceMs = NOT_DRAINING;
   private int inFlight;
   private long lastConnectionMs;
@@ -84,6 +85,7 @@
    * @param pool keeps connections to endpoints
    * @param metrics the metrics
    * @param drainPolicy decides what is still taken while stopping
+   * @param gate holds requests until the store was read
    * @param log takes a line for each decision
    */
   GatewayCore(
@@ -98,6 +100,7 @@
       final ConnectionPool pool,
       final GatewayMetrics metrics,
       final DrainPolicy drainPolicy,
+      final StartGate gate,
       final AsyncLogWriter log) {
     this.node = node;
     this.clock = clock;
@@ -110,6 +113,7 @@
     this.pool = pool;
     this.metrics = metrics;
     this.drainPolicy = drainPolicy;
+    this.gate = gate;
     this.log = log;
   }
 
@@ -139,7 +143,7 @@
    * @return false before the first plan and from the stop on
    */
   boolean isReady() {
-    return !isDraining() && plans.inForce().isPresent();
+    return !isDraining() && !gate.isClosed() && plans.inForce().isPresent();
   }
 
   boolean isDraining() {
@@ -178,35 +182,59 @@
    * @param caller where the answer goes
    * @param request the request
    * @param body its body
-   * @return the exchange, null if the request was refused
    */
-  Exchange serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+  void serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+    if (gate.isClosed()) {
+      gate.hold(() -> serveHeld(caller, request, body));
+      return;
+    }
+    serveNow(caller, request, body);
+  }
+
+  private void serveHeld(
+      final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+    if (caller.isOpen()) {
+      serveNow(caller, request, body);
+    }
+  }
+
+  private void serveNow(
+      final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
     final Optional<RequestHead> head = RequestTranslator.head(request);
     if (head.isEmpty()) {
-      return refuse(caller, "", HttpResponseStatus.BAD_REQUEST, "the head is not proper");
+      refuse(caller, "", HttpResponseStatus.BAD_REQUEST, "the head is not proper");
+      return;
     }
     final String id = head.get().id();
     if (plans.inForce().isEmpty()) {
-      return refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no plan is known");
+      refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no plan is known");
+      return;
     }
     final RoutingPlan plan = plans.inForce().get();
     final Optional<Route> route = plan.route(head.get().host(), head.get().path());
     if (route.isEmpty()) {
-      return refuse(caller, id, unlessBehind(HttpResponseStatus.NOT_FOUND), "no route");
+      refuse(caller, id, unlessBehind(HttpResponseStatus.NOT_FOUND), "no route");
+      return;
     }
     final Optional<Tenant> tenant = head.get().key().flatMap(plan::tenant);
     if (!route.get().open() && plan.needsKeys() && tenant.isEmpty()) {
-      return refuse(caller, id, unlessBehind(HttpResponseStatus.UNAUTHORIZED), "no valid key");
+      refuse(caller, id, unlessBehind(HttpResponseStatus.UNAUTHORIZED), "no valid key");
+      return;
     }
-    if (isDraining() && !drainPolicy.takes(route.get().kind(), clock.nowMs() - drainingSinceMs)) {
-      return refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+    if (isDraining() && !takesWhileDraining(route.get(), head.get())) {
+      refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+      return;
     }
     final ExchangeOrder order = order(plan, head.get(), route.get(), tenant);
     allowance.requested(order.service(), clock.nowMs());
     inFlight++;
     final Exchange exchange = new Exchange(this, caller, order, request, body);
+    caller.exchange(exchange);
     exchange.start();
-    return exchange;
+  }
+
+  private boolean takesWhileDraining(final Route route, final RequestHead head) {
+    return drainPolicy.takes(route.kind(), head.outputTokens(), clock.nowMs() - drainingSinceMs);
   }
 
   /** Chooses a status that promises nothing for good while newer plans may have passed by. */
@@ -245,7 +273,7 @@
         plan.version());
   }
 
-  private Exchange refuse(
+  private void refuse(
       final CallerConnection caller,
       final String id,
       final HttpResponseStatus status,
@@ -254,7 +282,6 @@
     metrics.refused("none", Integer.toString(status.code()));
     log.offer(line("refused", id, "", "", 0, 0, -1, 0, Integer.toString(status.code()), detail));
     caller.refuse(status, promised ? spreadRetryAfterMs() : 0);
-    return null;
   }
 
   private static long spreadRetryAfterMs() {
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
@@ -47,9 +48,6 @@
   /** How often old connections are closed, in milliseconds. */
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
-  /** How many connections may wait to be accepted. */
-  private static final int ACCEPT_BACKLOG = 1_024;
-
   /** The largest request for status or metrics, in bytes. */
   private static final int MAX_STATUS_BYTES = 4_096;
 
@@ -64,6 +62,7 @@
 
   private final GatewaySettings settings;
   private final Clock clock;
+  private final CallersSocketService socket;
   private final EventLoopService loops;
   private final ChangeFeed feed;
   private final GatewayMetrics metrics;
@@ -81,6 +80,7 @@
    *
    * @param settings its settings
    * @param clock the clock
+   * @param socket the socket for callers
    * @param loops the thread
    * @param feed the store
    * @param metrics the metrics
@@ -89,12 +89,14 @@
   public GatewayService(
       final GatewaySettings settings,
       final Clock clock,
+      final CallersSocketService socket,
       final EventLoopService loops,
       final ChangeFeed feed,
       final GatewayMetrics metrics,
       final AsyncLogWriter log) {
     this.settings = settings;
     this.clock = clock;
+    this.socket = socket;
     this.loops = loops;
     this.feed = feed;
     this.metrics = metrics;
@@ -110,6 +112,8 @@
                     .flatMap(plan -> plan.service(service))
                     .map(ServicePlan::kvCapacityTokens)
                     .orElse(0L));
+    final StartGate gate =
+        new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
@@ -126,14 +130,25 @@
             pool,
             metrics,
             drainPolicy,
+            gate,
             log);
     this.mesh = new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance);
     this.followers =
         List.of(
             new TableFollower(
-                feed, SharedTable.CONFIGURATION, new PlanListener(plans, clock), loop),
+                feed,
+                SharedTable.CONFIGURATION,
+                gate.watch(SharedTable.CONFIGURATION, new PlanListener(plans, clock)),
+                loop),
             new TableFollower(
-                feed, SharedTable.ENDPOINTS, new EndpointListener(directory, clock), loop));
+                feed,
+                SharedTable.ENDPOINTS,
+                gate.watch(SharedTable.ENDPOINTS, new EndpointListener(directory, clock)),
+                loop));
+    addGauges(plans, log);
+  }
+
+  private void addGauges(final PlanHolder plans, final AsyncLogWriter log) {
     metrics.gauge(
         "bulrushweir_gateway_plan_version",
         "The version of the plan in force.",
@@ -165,9 +180,9 @@
   @Override
   public void start() {
     followers.forEach(TableFollower::start);
+    callersPort = acceptCallers();
     statusPort = bindStatus(settings.readiness());
     bindStatus(settings.metrics());
-    callersPort = bindCallers();
     final SocketAddressSettings peers = settings.peers();
     transport = DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive);
     mesh.bound(transport.port());
@@ -205,23 +220,30 @@
         });
   }
 
-  private int bindCallers() {
-    return bind(
-        settings.callers(),
-        new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(final Channel channel) {
-            final HeadTimeDecoder headTime = new HeadTimeDecoder(clock);
-            channel
-                .pipeline()
-                .addLast(
-                    headTime.before(),
-                    new CallerRequestDecoder(core.limits().maxHeaderBytes()),
-                    headTime.after(),
-                    new HttpResponseEncoder(),
-                    new CallerHandler(core, headTime));
-          }
-        });
+  /** Begins to accept callers on the socket that has been open since the start. */
+  private int acceptCallers() {
+    new ServerBootstrap()
+        .group(loops.group())
+        .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(final Channel channel) {
+                final HeadTimeDecoder headTime = new HeadTimeDecoder(clock);
+                channel
+                    .pipeline()
+                    .addLast(
+                        headTime.before(),
+                        new CallerRequestDecoder(core.limits().maxHeaderBytes()),
+                        headTime.after(),
+                        new HttpResponseEncoder(),
+                        new CallerHandler(core, headTime));
+              }
+            })
+        .register()
+        .syncUninterruptibly();
+    return socket.channel().socket().getLocalPort();
   }
 
   private int bind(
@@ -230,7 +252,6 @@
         new ServerBootstrap()
             .group(loops.group())
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer)
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -0,0 +1,93 @@
+package org.bulrushweir.gateway;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.bulrushweir.store.RowChange;
+import org.bulrushweir.store.SharedTable;
+
+/**
+ * Holds the first requests of a process until its first reads of the store are answered, since they
+ * could only be refused. As soon as a read fails, nothing is held any more.
+ */
+final class StartGate {
+
+  private final Set<SharedTable> awaited;
+  private final List<Runnable> held = new ArrayList<>();
+
+  /**
+   * Creates a closed gate.
+   *
+   * @param tables the tables that must have been read
+   */
+  StartGate(final Set<SharedTable> tables) {
+    awaited = EnumSet.copyOf(tables);
+  }
+
+  /**
+   * Tells whether requests are to be held.
+   *
+   * @return false once all tables are read or one could not be read
+   */
+  boolean isClosed() {
+    return !awaited.isEmpty();
+  }
+
+  /**
+   * Holds a request.
+   *
+   * @param request serves it when the gate opens
+   */
+  void hold(final Runnable request) {
+    held.add(request);
+  }
+
+  private void read(final SharedTable table) {
+    if (awaited.remove(table) && awaited.isEmpty()) {
+      open();
+    }
+  }
+
+  private void open() {
+    awaited.clear();
+    final List<Runnable> requests = List.copyOf(held);
+    held.clear();
+    requests.forEach(Runnable::run);
+  }
+
+  /**
+   * Wraps a table's listener.
+   *
+   * @param table the table
+   * @param listener learns all that the wrapper learns, before the gate opens
+   * @return the wrapper
+   */
+  TableListener watch(final SharedTable table, final TableListener listener) {
+    return new TableListener() {
+      @Override
+      public void replaced(final List<RowChange> rows) {
+        listener.replaced(rows);
+        read(table);
+      }
+
+      @Override
+      public void changed(final List<RowChange> rows) {
+        listener.changed(rows);
+      }
+
+      @Override
+      public void confirmed() {
+        listener.confirmed();
+      }
+
+      @Override
+      public void lost() {
+        listener.lost();
+        if (isClosed()) {
+          open();
+        }
+      }
+    };
+  }
+}
--- a/src/main/java/org/bulrushweir/node/ServiceNames.java
+++ b/src/main/java/org/bulrushweir/node/ServiceNames.java
@@ -33,6 +33,9 @@
   /** The answers to operators' questions. */
   public static final String ADMIN = "admin";
 
+  /** The socket for the callers of a gateway. */
+  public static final String CALLERS_SOCKET = "callers-socket";
+
   /** The thread of a gateway. */
   public static final String EVENT_LOOP = "event-loop";
 
--- a/src/main/java/org/bulrushweir/platform/HeaderNames.java
+++ b/src/main/java/org/bulrushweir/platform/HeaderNames.java
@@ -15,6 +15,9 @@
   /** The parts of the prompt. */
   static final AsciiString PROMPT_PARTS = AsciiString.cached("x-prompt-prefix");
 
+  /** The tokens of the prompt and the longest answer in tokens, separated by a comma. */
+  static final AsciiString TOKENS = AsciiString.cached("x-token-usage");
+
   /** Marks answers that an endpoint made. */
   static final AsciiString ANSWER_SEAL = AsciiString.cached("x-response-seal");
 
@@ -57,7 +60,7 @@
           LAST_EVENT,
           AsciiString.cached("host"),
           AsciiString.cached("x-model"),
-          AsciiString.cached("x-token-usage"),
+          TOKENS,
           AsciiString.cached("x-length-hint"));
 
   private HeaderNames() {}
--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -54,6 +54,7 @@
             number(headers.get(HeaderNames.TIME_LEFT)),
             key(headers.get(HttpHeaderNames.AUTHORIZATION)),
             prompt(headers.get(HeaderNames.PROMPT_PARTS)),
+            outputTokens(headers.get(HeaderNames.TOKENS)),
             number(headers.get(HeaderNames.LAST_EVENT))));
   }
 
@@ -79,6 +80,11 @@
     }
   }
 
+  private static OptionalLong outputTokens(final String tokens) {
+    final int comma = tokens == null ? -1 : tokens.indexOf(',');
+    return comma < 0 ? OptionalLong.empty() : number(tokens.substring(comma + 1));
+  }
+
   private static Optional<String> key(final String authorization) {
     if (authorization == null
         || !authorization.regionMatches(true, 0, KEY_SCHEME, 0, KEY_SCHEME.length())) {
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import javax.inject.Singleton;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.gateway.CallersSocketService;
 import org.bulrushweir.gateway.EventLoopService;
 import org.bulrushweir.gateway.GatewayMetrics;
 import org.bulrushweir.gateway.GatewayService;
@@ -49,6 +50,13 @@
     return services -> new PlatformService(settings.platform(), PlatformService.GATEWAY_TIMEOUT_MS);
   }
 
+  @Provides
+  @IntoMap
+  @StringKey(ServiceNames.CALLERS_SOCKET)
+  static ServiceFactory callersSocket(final GatewaySettings settings) {
+    return services -> new CallersSocketService(settings.callers());
+  }
+
   @Provides
   @IntoMap
   @StringKey(ServiceNames.EVENT_LOOP)
@@ -77,6 +85,7 @@
         new GatewayService(
             settings,
             clock,
+            services.find(ServiceNames.CALLERS_SOCKET, CallersSocketService.class),
             services.find(ServiceNames.EVENT_LOOP, EventLoopService.class),
             services.find(ServiceNames.PLATFORM, PlatformService.class).feed(),
             metrics,
--- a/src/main/java/org/bulrushweir/relay/DrainPolicy.java
+++ b/src/main/java/org/bulrushweir/relay/DrainPolicy.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.relay;
 
+import java.util.OptionalLong;
 import org.bulrushweir.catalog.RequestKind;
 
 /**
@@ -14,8 +15,14 @@
   /** How long before the kill the process exits by itself, in milliseconds. */
   public static final long EXIT_MARGIN_MS = 800;
 
-  /** Within which nearly all streams end, in milliseconds: the longest answers of the sheets. */
-  private static final long STREAM_MS = 3_500;
+  /** Within which a stream of unknown length ends, in milliseconds: the longest of the sheets. */
+  private static final long UNKNOWN_STREAM_MS = 5_000;
+
+  /** Within which nearly all streams begin, in milliseconds: their latency objective. */
+  private static final long FIRST_EVENT_MS = 600;
+
+  /** How long an engine takes for a token, in milliseconds: its step and some other prompts. */
+  private static final long TOKEN_MS = 6;
 
   /** Within which nearly all calls end, in milliseconds: stragglers take some times the usual. */
   private static final long CALL_MS = 1_500;
@@ -24,14 +31,22 @@
    * Tells whether a request can be taken.
    *
    * @param kind its kind
+   * @param outputTokens the longest answer that it allows, in tokens, if it says so
    * @param stoppingForMs how long ago the stop signal came, in milliseconds
    * @return false if it most likely would be cut off
    */
-  public boolean takes(final RequestKind kind, final long stoppingForMs) {
-    final long neededMs = kind == RequestKind.STREAM ? STREAM_MS : CALL_MS;
+  public boolean takes(
+      final RequestKind kind, final OptionalLong outputTokens, final long stoppingForMs) {
+    final long neededMs = kind == RequestKind.STREAM ? streamMs(outputTokens) : CALL_MS;
     return stoppingForMs + neededMs <= exitAfterMs();
   }
 
+  private static long streamMs(final OptionalLong outputTokens) {
+    return outputTokens.isPresent()
+        ? FIRST_EVENT_MS + TOKEN_MS * outputTokens.getAsLong()
+        : UNKNOWN_STREAM_MS;
+  }
+
   /**
    * Returns when the process exits at the latest.
    *
--- a/src/main/java/org/bulrushweir/relay/RequestHead.java
+++ b/src/main/java/org/bulrushweir/relay/RequestHead.java
@@ -14,6 +14,7 @@
  * @param deadlineMs how long the caller waits, in milliseconds, empty if it does not say
  * @param key the caller's key, empty if it sent none
  * @param prompt the parts of its prompt in order, empty for calls
+ * @param outputTokens the longest answer that it allows, in tokens, empty if it does not say
  * @param resumeAfter the id of the last event that the caller already has
  */
 public record RequestHead(
@@ -23,6 +24,7 @@
     OptionalLong deadlineMs,
     Optional<String> key,
     List<PromptPart> prompt,
+    OptionalLong outputTokens,
     OptionalLong resumeAfter) {
 
   /** Copies the prompt. */
--- a/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
+++ b/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
@@ -32,6 +32,7 @@
         .set("X-Request-Id", "9c41")
         .set("X-Model", "m")
         .set("X-Prompt-Prefix", "5c1e07a2:800, ffffffffffffffff:410,x:1,7:7")
+        .set("X-Token-Usage", "1460,80")
         .set("X-Deadline-Ms", "5000")
         .set("Authorization", "Bearer secret")
         .set("Content-Length", "3");
@@ -57,6 +58,7 @@
     assertEquals("chat.example", head.host());
     assertEquals("/draft/1", head.path());
     assertEquals(OptionalLong.of(5_000), head.deadlineMs());
+    assertEquals(OptionalLong.of(80), head.outputTokens());
     assertEquals(Optional.of("secret"), head.key());
     assertEquals(List.of(new PromptPart(0x5c1e07a2L, 800), new PromptPart(-1, 410)), head.prompt());
   }
