An endpoint that leaves after the store's return is gone in time

The removal came 0.8 s after this gateway had regained the store; it was held like a lapse of the outage, until 2.3 s after the return and then until the next poll. Ruled out: a late feed, the removal was told after 0.1 s. Test: EndpointDirectoryTest, failed first.

--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -25,6 +25,15 @@
    */
   static final long LAPSE_GRACE_MS = 2_300;
 
+  /**
+   * For how long a removal that happened after the store's return is not believed, in milliseconds:
+   * a leaving endpoint must get no new work two seconds after it has said so.
+   */
+  static final long LATE_LAPSE_GRACE_MS = 1_400;
+
+  /** Within which the first answer after the store's return is taken over, in milliseconds. */
+  private static final long FIRST_ANSWER_MS = 100;
+
   private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
   private final Map<EndpointId, Long> removals = new HashMap<>();
   private Map<ServiceName, List<EndpointRecord>> byService = Map.of();
@@ -54,15 +63,25 @@
     if (!records.containsKey(id)) {
       return;
     }
-    final long believedUntilMs = storeReachable ? regainedAtMs + LAPSE_GRACE_MS : Long.MAX_VALUE;
+    final long believedUntilMs = believedUntilMs(nowMs);
     if (nowMs < believedUntilMs) {
-      removals.put(id, believedUntilMs);
+      removals.putIfAbsent(id, believedUntilMs);
       return;
     }
     records.remove(id);
     changed();
   }
 
+  private long believedUntilMs(final long nowMs) {
+    if (!storeReachable) {
+      return Long.MAX_VALUE;
+    }
+    final long untilMs = regainedAtMs + LAPSE_GRACE_MS;
+    return nowMs <= regainedAtMs + FIRST_ANSWER_MS
+        ? untilMs
+        : Math.min(untilMs, nowMs + LATE_LAPSE_GRACE_MS);
+  }
+
   /**
    * Takes the whole list of registrations.
    *
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -79,6 +79,10 @@
   @Override
   public void confirmed() {
     directory.storeRegained(clock.nowMs());
+  }
+
+  /** Drops the endpoints whose lapsed registrations have not come back in time. */
+  void expire() {
     directory
         .expire(clock.nowMs())
         .forEach(id -> logger.atInfo().log("endpoint %s: gone, its registration lapsed", id));
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -69,6 +69,7 @@
   private final GatewayCore core;
   private final DrainPolicy drainPolicy;
   private final PeerMesh mesh;
+  private final EndpointListener endpointListener;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
   private DatagramTransport transport;
@@ -133,6 +134,7 @@
             gate,
             log);
     this.mesh = new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance);
+    this.endpointListener = new EndpointListener(directory, clock);
     this.followers =
         List.of(
             new TableFollower(
@@ -143,7 +145,7 @@
             new TableFollower(
                 feed,
                 SharedTable.ENDPOINTS,
-                gate.watch(SharedTable.ENDPOINTS, new EndpointListener(directory, clock)),
+                gate.watch(SharedTable.ENDPOINTS, endpointListener),
                 loop));
     addGauges(plans, log);
   }
@@ -190,10 +192,7 @@
     loop.execute(this::register);
     loop.execute(this::readRouters);
     loop.scheduleWithFixedDelay(
-        () -> mesh.report(transport, false),
-        REPORT_INTERVAL_MS,
-        REPORT_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
+        this::keepHouse, REPORT_INTERVAL_MS, REPORT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         pool::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     logger.atInfo().log(
@@ -205,6 +204,11 @@
         settings.platform());
   }
 
+  private void keepHouse() {
+    endpointListener.expire();
+    mesh.report(transport, false);
+  }
+
   private int bindStatus(final SocketAddressSettings address) {
     final StatusHandler handler = new StatusHandler(core, metrics);
     return bind(
--- a/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -48,6 +48,17 @@
     assertEquals(1, count());
   }
 
+  /** An endpoint that left 0.8 s after the store's return got a request 2.3 s later. */
+  @Test
+  void endpointThatLeavesAfterTheReturnIsGoneWithinTwoSeconds() {
+    directory.put(entry(E1));
+    directory.storeLost();
+    directory.storeRegained(20_000);
+    directory.remove(E1, 20_800);
+    directory.expire(20_800 + EndpointDirectory.LATE_LAPSE_GRACE_MS);
+    assertEquals(0, count());
+  }
+
   @Test
   void removalThatIsToldJustAfterTheReturnIsHeldToo() {
     directory.put(entry(E1));
