Lapsed registrations are believed from the last unanswered call on

The gateway had noticed the end of its cut from the store 0.9 s late and counted its grace from there, past the three seconds after which it is bound again. Now the grace is 2.1 s from the return and at most 2.9 s from the start of the last call without an answer; pauses between tries are 0.2 to 0.6 s instead of 0.4 to 1.2 s. Test: EndpointDirectoryTest.timeRunsFromTheLastCallThatWasNotAnswered, failed first.

--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -23,7 +23,14 @@
    * For how long after the store's return a lapsed registration is still believed, in milliseconds:
    * the platform promises re-registration within about two seconds.
    */
-  static final long LAPSE_GRACE_MS = 2_300;
+  static final long LAPSE_GRACE_MS = 2_100;
+
+  /**
+   * For how long after the last call that the store did not answer a lapsed registration is still
+   * believed, in milliseconds. The store may have been back ever since; three seconds after its
+   * return a leaving endpoint must get no new work.
+   */
+  static final long UNANSWERED_GRACE_MS = 2_900;
 
   /**
    * For how long a removal that happened after the store's return is not believed, in milliseconds:
@@ -38,6 +45,7 @@
   private final Map<EndpointId, Long> removals = new HashMap<>();
   private Map<ServiceName, List<EndpointRecord>> byService = Map.of();
   private boolean storeReachable = true;
+  private long unansweredAtMs = Long.MIN_VALUE / 2;
   private long regainedAtMs = Long.MIN_VALUE / 2;
   private long changes;
 
@@ -76,12 +84,16 @@
     if (!storeReachable) {
       return Long.MAX_VALUE;
     }
-    final long untilMs = regainedAtMs + LAPSE_GRACE_MS;
+    final long untilMs = lapseBelievedUntilMs();
     return nowMs <= regainedAtMs + FIRST_ANSWER_MS
         ? untilMs
         : Math.min(untilMs, nowMs + LATE_LAPSE_GRACE_MS);
   }
 
+  private long lapseBelievedUntilMs() {
+    return Math.min(regainedAtMs + LAPSE_GRACE_MS, unansweredAtMs + UNANSWERED_GRACE_MS);
+  }
+
   /**
    * Takes the whole list of registrations.
    *
@@ -101,9 +113,14 @@
     }
   }
 
-  /** Notes that the store can't be reached. */
-  public void storeLost() {
+  /**
+   * Notes that the store can't be reached.
+   *
+   * @param calledAtMs when the call began that it did not answer
+   */
+  public void storeLost(final long calledAtMs) {
     storeReachable = false;
+    unansweredAtMs = calledAtMs;
   }
 
   /**
@@ -117,7 +134,7 @@
     }
     storeReachable = true;
     regainedAtMs = nowMs;
-    removals.replaceAll((id, untilMs) -> nowMs + LAPSE_GRACE_MS);
+    removals.replaceAll((id, untilMs) -> lapseBelievedUntilMs());
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -89,7 +89,7 @@
   }
 
   @Override
-  public void lost() {
-    directory.storeLost();
+  public void lost(final long calledAtMs) {
+    directory.storeLost(calledAtMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/FeedTimes.java
+++ b/src/main/java/org/bulrushweir/gateway/FeedTimes.java
@@ -13,8 +13,11 @@
   /** The pause before the first new try, in milliseconds. */
   static final long FIRST_RETRY_MS = 100;
 
-  /** The longest pause between tries, in milliseconds: the store's return is noticed within. */
-  static final long LONGEST_RETRY_MS = 800;
+  /**
+   * The longest mean pause between tries, in milliseconds: endpoints register again within two
+   * seconds of the store's return, and what has left must be known a second later.
+   */
+  static final long LONGEST_RETRY_MS = 400;
 
   private FeedTimes() {}
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -141,12 +141,14 @@
                 feed,
                 SharedTable.CONFIGURATION,
                 gate.watch(SharedTable.CONFIGURATION, new PlanListener(plans, clock)),
-                loop),
+                loop,
+                clock),
             new TableFollower(
                 feed,
                 SharedTable.ENDPOINTS,
                 gate.watch(SharedTable.ENDPOINTS, endpointListener),
-                loop));
+                loop,
+                clock));
     addGauges(plans, log);
   }
 
--- a/src/main/java/org/bulrushweir/gateway/PlanListener.java
+++ b/src/main/java/org/bulrushweir/gateway/PlanListener.java
@@ -65,7 +65,7 @@
   }
 
   @Override
-  public void lost() {
+  public void lost(final long calledAtMs) {
     // The plan in force stays; how old its confirmation is decides what may be refused.
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -82,8 +82,8 @@
       }
 
       @Override
-      public void lost() {
-        listener.lost();
+      public void lost(final long calledAtMs) {
+        listener.lost(calledAtMs);
         if (isClosed()) {
           open();
         }
--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.bulrushweir.api.Clock;
 import org.bulrushweir.store.ChangeFeed;
 import org.bulrushweir.store.ChangePage;
 import org.bulrushweir.store.HistoryLostException;
@@ -20,6 +21,8 @@
   private final SharedTable table;
   private final TableListener listener;
   private final EventLoop loop;
+  private final Clock clock;
+  private long calledAtMs;
   private boolean known;
   private boolean reachable = true;
   private boolean stopped;
@@ -33,16 +36,19 @@
    * @param table the table
    * @param listener learns what the table holds
    * @param loop where the listener is called
+   * @param clock the clock
    */
   TableFollower(
       final ChangeFeed feed,
       final SharedTable table,
       final TableListener listener,
-      final EventLoop loop) {
+      final EventLoop loop,
+      final Clock clock) {
     this.feed = feed;
     this.table = table;
     this.listener = listener;
     this.loop = loop;
+    this.clock = clock;
   }
 
   void start() {
@@ -57,6 +63,7 @@
     if (stopped) {
       return;
     }
+    calledAtMs = clock.nowMs();
     final CompletableFuture<ChangePage> answer =
         known ? feed.changes(table, version, FeedTimes.WAIT_MS) : feed.snapshot(table);
     answer.whenComplete((page, failure) -> loop.execute(() -> answered(page, failure)));
@@ -95,7 +102,7 @@
       logger.atWarning().log(
           "lost the platform's table %s at version %d: %s", table, version, failure.getMessage());
     }
-    listener.lost();
+    listener.lost(calledAtMs);
     final long pauseMs = retryMs / 2 + ThreadLocalRandom.current().nextLong(retryMs);
     retryMs = Math.min(FeedTimes.LONGEST_RETRY_MS, 2 * retryMs);
     loop.schedule(this::poll, pauseMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/bulrushweir/gateway/TableListener.java
+++ b/src/main/java/org/bulrushweir/gateway/TableListener.java
@@ -23,6 +23,10 @@
   /** Notes that the store has told all that it knows; comes with every answer of it. */
   void confirmed();
 
-  /** Notes that the store can't be reached. */
-  void lost();
+  /**
+   * Notes that the store can't be reached.
+   *
+   * @param calledAtMs when the call began that it did not answer
+   */
+  void lost(long calledAtMs);
 }
--- a/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -37,7 +37,7 @@
   void registrationsThatLapseWithTheStoreAwayAreBelievedUntilTheyHadTimeToComeBack() {
     directory.put(entry(E1));
     directory.put(entry(E2));
-    directory.storeLost();
+    directory.storeLost(19_900);
     directory.storeRegained(20_000);
     directory.replaceAll(List.of(), 20_000);
     assertEquals(2, count());
@@ -52,17 +52,32 @@
   @Test
   void endpointThatLeavesAfterTheReturnIsGoneWithinTwoSeconds() {
     directory.put(entry(E1));
-    directory.storeLost();
+    directory.storeLost(19_900);
     directory.storeRegained(20_000);
     directory.remove(E1, 20_800);
     directory.expire(20_800 + EndpointDirectory.LATE_LAPSE_GRACE_MS);
     assertEquals(0, count());
   }
 
+  /**
+   * A gateway that noticed the store's return a second late kept an endpoint for 0.1 s too long.
+   */
+  @Test
+  void timeRunsFromTheLastCallThatWasNotAnswered() {
+    directory.put(entry(E1));
+    directory.storeLost(24_500);
+    directory.storeRegained(25_440);
+    directory.remove(E1, 25_440);
+    directory.expire(27_399);
+    assertEquals(1, count());
+    directory.expire(27_400);
+    assertEquals(0, count());
+  }
+
   @Test
   void removalThatIsToldJustAfterTheReturnIsHeldToo() {
     directory.put(entry(E1));
-    directory.storeLost();
+    directory.storeLost(19_900);
     directory.storeRegained(20_000);
     directory.remove(E1, 21_000);
     assertEquals(1, count());
@@ -73,10 +88,10 @@
   @Test
   void secondOutageStartsTheTimeAnew() {
     directory.put(entry(E1));
-    directory.storeLost();
+    directory.storeLost(19_900);
     directory.storeRegained(20_000);
     directory.remove(E1, 20_100);
-    directory.storeLost();
+    directory.storeLost(24_900);
     directory.storeRegained(25_000);
     directory.expire(25_100);
     assertEquals(1, count());
