--- a/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -235,6 +235,20 @@
     return true;
   }
 
+  /**
+   * Notes what an engine says that it holds.
+   *
+   * @param endpoint the engine
+   * @param parts the parts
+   */
+  public void holds(final EndpointId endpoint, final List<PromptPart> parts) {
+    refresh();
+    final EndpointState state = states.get(endpoint);
+    if (state != null) {
+      state.prefixes().read(parts);
+    }
+  }
+
   /**
    * Returns what this router has at each endpoint.
    *
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -17,12 +17,15 @@
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.balancing.EndpointBoard;
 import org.bulrushweir.balancing.EndpointSelector;
+import org.bulrushweir.balancing.PromptPart;
 import org.bulrushweir.balancing.RepeatAllowance;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.PlanHolder;
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.platform.EngineCacheClient;
 import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.SocketAddressSettings;
@@ -65,6 +68,7 @@
   private final CallersSocketService socket;
   private final EventLoopService loops;
   private final ChangeFeed feed;
+  private final EngineCacheClient caches;
   private final GatewayMetrics metrics;
   private final GatewayCore core;
   private final DrainPolicy drainPolicy;
@@ -84,6 +88,7 @@
    * @param socket the socket for callers
    * @param loops the thread
    * @param feed the store
+   * @param caches asks engines what they hold
    * @param metrics the metrics
    * @param log takes a line for each decision
    */
@@ -93,6 +98,7 @@
       final CallersSocketService socket,
       final EventLoopService loops,
       final ChangeFeed feed,
+      final EngineCacheClient caches,
       final GatewayMetrics metrics,
       final AsyncLogWriter log) {
     this.settings = settings;
@@ -100,6 +106,7 @@
     this.socket = socket;
     this.loops = loops;
     this.feed = feed;
+    this.caches = caches;
     this.metrics = metrics;
     final EventLoop loop = loops.loop();
     final PlanHolder plans = new PlanHolder();
@@ -115,6 +122,7 @@
                     .orElse(0L));
     final StartGate gate =
         new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
+    gate.whenRead(() -> askEngines(plans, directory, board));
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
@@ -152,6 +160,40 @@
     addGauges(plans, log);
   }
 
+  /** Asks the engines what they hold: those that sent prompts there before have been restarted. */
+  private void askEngines(
+      final PlanHolder plans, final EndpointDirectory directory, final EndpointBoard board) {
+    if (settings.firstStart()) {
+      return;
+    }
+    for (final EndpointRecord entry : directory.all()) {
+      if (plans
+          .inForce()
+          .flatMap(plan -> plan.service(entry.service()))
+          .filter(ServicePlan::engine)
+          .isEmpty()) {
+        continue;
+      }
+      caches
+          .held(entry)
+          .whenComplete(
+              (parts, failure) -> loops.loop().execute(() -> told(board, entry, parts, failure)));
+    }
+  }
+
+  private static void told(
+      final EndpointBoard board,
+      final EndpointRecord engine,
+      final List<PromptPart> parts,
+      final Throwable failure) {
+    if (failure != null) {
+      logger.atInfo().log("engine %s does not say what it holds: %s", engine.id(), failure);
+      return;
+    }
+    board.holds(engine.id(), parts);
+    logger.atInfo().log("engine %s holds %d parts", engine.id(), parts.size());
+  }
+
   private void addGauges(final PlanHolder plans, final AsyncLogWriter log) {
     metrics.gauge(
         "bulrushweir_gateway_plan_version",
@@ -183,13 +225,13 @@
 
   @Override
   public void start() {
-    followers.forEach(TableFollower::start);
     callersPort = acceptCallers();
     statusPort = bindStatus(settings.readiness());
     bindStatus(settings.metrics());
     final SocketAddressSettings peers = settings.peers();
     transport = DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive);
     mesh.bound(transport.port());
+    followers.forEach(TableFollower::start);
     final EventLoop loop = loops.loop();
     loop.execute(this::register);
     loop.execute(this::readRouters);
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -13,7 +13,9 @@
  */
 final class StartGate {
 
-  private final Set<SharedTable> awaited;
+  private final Set<SharedTable> unread;
+  private boolean closed = true;
+  private final List<Runnable> onRead = new ArrayList<>();
   private final List<Runnable> held = new ArrayList<>();
 
   /**
@@ -22,7 +24,7 @@
    * @param tables the tables that must have been read
    */
   StartGate(final Set<SharedTable> tables) {
-    awaited = EnumSet.copyOf(tables);
+    unread = EnumSet.copyOf(tables);
   }
 
   /**
@@ -31,7 +33,7 @@
    * @return false once all tables are read or one could not be read
    */
   boolean isClosed() {
-    return !awaited.isEmpty();
+    return closed;
   }
 
   /**
@@ -43,14 +45,26 @@
     held.add(request);
   }
 
+  /**
+   * Adds something to do once all tables are read, before requests are served.
+   *
+   * @param action what to do
+   */
+  void whenRead(final Runnable action) {
+    onRead.add(action);
+  }
+
   private void read(final SharedTable table) {
-    if (awaited.remove(table) && awaited.isEmpty()) {
+    unread.remove(table);
+    if (unread.isEmpty()) {
+      onRead.forEach(Runnable::run);
+      onRead.clear();
       open();
     }
   }
 
   private void open() {
-    awaited.clear();
+    closed = false;
     final List<Runnable> requests = List.copyOf(held);
     held.clear();
     requests.forEach(Runnable::run);
--- a/src/main/java/org/bulrushweir/node/PlatformService.java
+++ b/src/main/java/org/bulrushweir/node/PlatformService.java
@@ -5,6 +5,7 @@
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.platform.EngineCacheClient;
 import org.bulrushweir.platform.HttpPlatformStore;
 import org.bulrushweir.settings.ProcessSettings;
 import org.bulrushweir.store.ChangeFeed;
@@ -68,6 +69,16 @@
     return store;
   }
 
+  /**
+   * Returns a client of the engines' caches.
+   *
+   * @param timeoutMs how long a call may take, in milliseconds
+   * @return the client
+   */
+  public EngineCacheClient engineCaches(final long timeoutMs) {
+    return new EngineCacheClient(client, timeoutMs);
+  }
+
   @Override
   public void start() {
     // Connections are opened on demand.
--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -0,0 +1,117 @@
+package org.bulrushweir.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.bulrushweir.balancing.PromptPart;
+import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.store.PlatformException;
+
+/** Asks engines which parts of prompts they hold. */
+public final class EngineCacheClient {
+
+  private static final String PATH = "kv-list";
+  private static final String HELD = "held";
+  private static final int ID_INDEX = 1;
+  private static final int TOKENS_INDEX = 2;
+  private static final int HEX_RADIX = 16;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final OkHttpClient client;
+
+  /**
+   * Creates the client.
+   *
+   * @param client the HTTP client to share threads with
+   * @param timeoutMs how long a call may take, in milliseconds
+   */
+  public EngineCacheClient(final OkHttpClient client, final long timeoutMs) {
+    this.client =
+        client
+            .newBuilder()
+            .retryOnConnectionFailure(false)
+            .callTimeout(Duration.ofMillis(timeoutMs))
+            .build();
+  }
+
+  /**
+   * Asks an engine.
+   *
+   * @param engine the engine
+   * @return the parts that it holds; fails with a {@link PlatformException} without an answer
+   */
+  public CompletableFuture<List<PromptPart>> held(final EndpointRecord engine) {
+    final HttpUrl url =
+        new HttpUrl.Builder()
+            .scheme("http")
+            .host(engine.host())
+            .port(engine.port())
+            .addPathSegment(PATH)
+            .build();
+    final CompletableFuture<List<PromptPart>> future = new CompletableFuture<>();
+    client.newCall(new Request.Builder().url(url).build()).enqueue(new PartsCallback(future));
+    return future;
+  }
+
+  /** Completes a future with the parts in an answer. */
+  private final class PartsCallback implements Callback {
+
+    private final CompletableFuture<List<PromptPart>> future;
+
+    private PartsCallback(final CompletableFuture<List<PromptPart>> future) {
+      this.future = future;
+    }
+
+    @Override
+    public void onFailure(final Call call, final IOException e) {
+      future.completeExceptionally(
+          new PlatformException("the engine does not answer: " + e.getMessage(), false, e));
+    }
+
+    @Override
+    public void onResponse(final Call call, final Response response) {
+      try (response) {
+        if (!response.isSuccessful()) {
+          throw new IOException("status " + response.code());
+        }
+        future.complete(parse(response.body().string()));
+      } catch (IOException e) {
+        onFailure(call, e);
+      }
+    }
+  }
+
+  /**
+   * Reads the parts in an answer; entries that can't be read are left out.
+   *
+   * @param text the answer
+   * @return the parts
+   * @throws JsonProcessingException if the answer is not JSON
+   */
+  List<PromptPart> parse(final String text) throws JsonProcessingException {
+    final List<PromptPart> parts = new ArrayList<>();
+    for (final JsonNode entry : mapper.readTree(text).path(HELD)) {
+      try {
+        parts.add(
+            new PromptPart(
+                Long.parseUnsignedLong(entry.path(ID_INDEX).asText(), HEX_RADIX),
+                entry.path(TOKENS_INDEX).asInt()));
+      } catch (NumberFormatException e) {
+        // An id of another form names no part that callers' prompts can share.
+        continue;
+      }
+    }
+    return parts;
+  }
+}
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -81,14 +81,17 @@
       final Clock clock,
       final GatewayMetrics metrics,
       final AsyncLogWriter log) {
-    return services ->
-        new GatewayService(
-            settings,
-            clock,
-            services.find(ServiceNames.CALLERS_SOCKET, CallersSocketService.class),
-            services.find(ServiceNames.EVENT_LOOP, EventLoopService.class),
-            services.find(ServiceNames.PLATFORM, PlatformService.class).feed(),
-            metrics,
-            log);
+    return services -> {
+      final PlatformService platform = services.find(ServiceNames.PLATFORM, PlatformService.class);
+      return new GatewayService(
+          settings,
+          clock,
+          services.find(ServiceNames.CALLERS_SOCKET, CallersSocketService.class),
+          services.find(ServiceNames.EVENT_LOOP, EventLoopService.class),
+          platform.feed(),
+          platform.engineCaches(PlatformService.GATEWAY_TIMEOUT_MS),
+          metrics,
+          log);
+    };
   }
 }
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -16,6 +16,8 @@
  * @param metrics where scrapers of metrics connect
  * @param peers where other gateways send their reports
  * @param platform the platform's base URL
+ * @param firstStart whether the whole system starts for the first time, so that no engine holds
+ *     anything
  * @param graceMs how long after a SIGTERM the process is killed, in milliseconds
  * @param repeatBudget bounds the repeats of all gateways together
  * @param selector the settings of the choice of endpoints
@@ -30,6 +32,7 @@
     SocketAddressSettings metrics,
     SocketAddressSettings peers,
     HttpUrl platform,
+    boolean firstStart,
     long graceMs,
     RepeatBudget repeatBudget,
     SelectorSettings selector,
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -79,6 +79,7 @@
     final SocketAddressSettings metrics = address(listen, "metrics");
     final SocketAddressSettings peers = address(listen, "peers");
     final HttpUrl platform = platformUrl(root.table("platform"));
+    final boolean firstStart = root.flag("first_start", false);
     final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
     final RepeatBudget repeats = repeats(root.table("repeats"));
     final SelectorSettings selector = selector(root.table("selection"));
@@ -95,6 +96,7 @@
         metrics,
         peers,
         platform,
+        firstStart,
         graceMs,
         repeats,
         selector,
