Prompt tokens that another engine hands over are not counted as waiting to be read

Cause: an engine that gets a part from another looked as busy as one that reads it, so further prompts were sent elsewhere and moved memory again.

--- a/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -156,16 +156,22 @@
    *
    * @param endpoint where it goes
    * @param prompt its prompt, empty if it has none
+   * @param source an engine that hands over what the endpoint lacks, empty if there is none
    * @return how many prompt tokens the endpoint has to read
    */
-  public long sent(final EndpointId endpoint, final List<PromptPart> prompt) {
+  public long sent(
+      final EndpointId endpoint,
+      final List<PromptPart> prompt,
+      final Optional<EndpointRecord> source) {
     refresh();
     final EndpointState state = states.get(endpoint);
     if (state == null) {
       return 0;
     }
     final long total = prompt.stream().mapToLong(PromptPart::tokens).sum();
-    final long pending = total - state.prefixes().cachedTokens(prompt);
+    final int handedOver =
+        source.map(engine -> states.get(engine.id()).prefixes().cachedTokens(prompt)).orElse(0);
+    final long pending = total - Math.max(handedOver, state.prefixes().cachedTokens(prompt));
     state.add(1, pending);
     if (!prompt.isEmpty()) {
       state.prefixes().read(prompt);
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -178,7 +178,8 @@
     current = attempt;
     attempt.cacheSource =
         core.board().cacheSource(send.endpoint(), order.head().prompt(), core.nowMs());
-    attempt.pendingTokens = core.board().sent(send.endpoint(), order.head().prompt());
+    attempt.pendingTokens =
+        core.board().sent(send.endpoint(), order.head().prompt(), attempt.cacheSource);
     if (endpoint.isEmpty()) {
       attempt.left(AttemptOutcome.ABANDONED);
       handle(new RelayEvent.NotSent(send.attempt(), "the endpoint is gone"));
--- a/src/test/java/org/bulrushweir/balancing/EndpointBoardTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointBoardTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.junit.jupiter.api.Test;
@@ -28,7 +29,7 @@
 
   @Test
   void loadsOfPeersAreAdded() {
-    board.sent(E1, List.of());
+    board.sent(E1, List.of(), Optional.empty());
     assertTrue(report(7, 1, 4));
     assertEquals(5, board.inFlight(E1, 0));
   }
@@ -55,7 +56,7 @@
 
   @Test
   void loadsComeDownWhenRequestsLeave() {
-    board.sent(E1, List.of(new PromptPart(1, 100), new PromptPart(2, 10)));
+    board.sent(E1, List.of(new PromptPart(1, 100), new PromptPart(2, 10)), Optional.empty());
     board.promptRead(E1, 110);
     board.left(E1, AttemptOutcome.ANSWERED, 0);
     assertEquals(0, board.inFlight(E1, 0));
--- a/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
@@ -43,7 +43,7 @@
       final List<PromptPart> prompt = prompt(second % 4, second, number);
       final int router = random.nextInt(ROUTERS);
       final EndpointId chosen = routers.choose(router, prompt, number).orElseThrow();
-      final long pending = routers.boards.get(router).sent(chosen, prompt);
+      final long pending = routers.boards.get(router).sent(chosen, prompt, Optional.empty());
       read += pending - OWN_TOKENS;
       homesOfFirst.computeIfAbsent(second % 4, key -> new HashSet<>()).add(chosen);
       seen.add(second);
@@ -66,7 +66,7 @@
       final int router = number % ROUTERS;
       final List<PromptPart> prompt = prompt(1, 1, number);
       final EndpointId chosen = routers.choose(router, prompt, number).orElseThrow();
-      final long pending = routers.boards.get(router).sent(chosen, prompt);
+      final long pending = routers.boards.get(router).sent(chosen, prompt, Optional.empty());
       routers.boards.get(router).promptRead(chosen, pending);
       if (router == ROUTERS - 1) {
         routers.exchange(0);
@@ -102,7 +102,7 @@
     final List<PromptPart> prompt = prompt(1, 1, 1);
     final EndpointBoard board = routers.boards.getFirst();
     final EndpointId home = routers.choose(0, prompt, 1).orElseThrow();
-    board.sent(home, prompt);
+    board.sent(home, prompt, Optional.empty());
     routers.add(Integer.parseInt(home.value().substring(1)), true);
     final EndpointId next = routers.choose(0, prompt, 1).orElseThrow();
     assertNotEquals(home, next);
@@ -124,7 +124,7 @@
               .getFirst()
               .choose(SimulatedRouters.SERVICE, List.of(), number, Set.of(), nowMs)
               .orElseThrow();
-      board.sent(chosen, List.of());
+      board.sent(chosen, List.of(), Optional.empty());
       toFailing += chosen.equals(failing) ? 1 : 0;
       board.left(
           chosen, chosen.equals(failing) ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED, nowMs);
