ReplacedEndpointProcessTest is listed as red; its change is taken back

Cause not found. The last explanation (a list of VMs that is half a second old) is refuted: with a wait for a probe booking the test failed twice more, after 20 s. Seen: the router gets connection refused at a sidecar's port and answers not-run instead of unknown. The check stands as it was; mend it first.

--- a/src/test/java/org/bulrushweir/process/ReplacedEndpointProcessTest.java
+++ b/src/test/java/org/bulrushweir/process/ReplacedEndpointProcessTest.java
@@ -52,17 +52,10 @@
     fleet.process("orders-1").kill();
     fleet.startSidecar("orders-1", "orders", fleet.httpPort("orders-1-service"), "");
     assertUnknown(first.join());
-    awaitNewSidecarKnown();
     assertUnknown(book());
     assertEquals(1, runs("killed"));
   }
 
-  /** Waits until the router has read where the new sidecar is. */
-  private void awaitNewSidecarKnown() throws Exception {
-    Waiting.until(
-        () -> fleet.send(fleet.booking("router-1", "probe", "probe")).statusCode() == 200);
-  }
-
   private HttpResponse<String> book() {
     try {
       return fleet.send(fleet.booking("router-1", "killed", "killed"));
