Requests wait while their engine reads their shared parts for another one

A second cause of misses: reports of peers longer than 2,048 bytes were cut off by the receiver and dropped ("a peer's report can't be read").

Change: parts have a time at which they will have been read; a request waits for long ones, at most 250 ms; peers hear at once of long prompts; parts being read are not handed over. Datagrams are received whole. Log lines carry the prompt's tokens, what was cached, who hands over, the mean load, and the wait. Lines on requests moved from GatewayCore to RequestLog.

Ruled out: too little memory (last parts never return, 0.64 M shared tokens against 3.4 M of memory).

Losses that remain are parts of engines that were replaced. The router's list of VMs logs changes and failures of reading; a test's control call to the platform stand-in no longer ignores its status.

--- a/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -31,22 +31,44 @@
   /** From how many tokens on a part is handed over; fewer are read as fast. */
   private static final int MIN_FETCHED_TOKENS = 256;
 
+  /**
+   * From how many tokens on a request waits until its engine has read them for another request;
+   * fewer are read in a few milliseconds.
+   */
+  private static final int MIN_AWAITED_TOKENS = 512;
+
+  /** From how many tokens on that engines have to read peers are told at once. */
+  private static final int MIN_URGENT_TOKENS = 1_500;
+
+  /** The longest wait for parts that are being read, in milliseconds: half of a strict target. */
+  private static final long MAX_AWAIT_MS = 250;
+
+  /** How much longer reading takes than the tokens alone say: running answers go on meanwhile. */
+  private static final double READING_SLACK = 1.25;
+
   private final Map<EndpointId, EndpointState> states = new HashMap<>();
   private final Map<NodeId, ReportOrder> newest = new HashMap<>();
   private final List<PeerReport.Placement> placements = new ArrayList<>();
   private final EndpointDirectory directory;
   private final MemorySize memorySize;
+  private final double prefillTokensPerMs;
   private long seenChanges = -1;
+  private long coldTokens;
 
   /**
    * Creates a board.
    *
    * @param directory lists the endpoints
    * @param memorySize tells how many tokens the engines of a service keep
+   * @param prefillTokensPerMs how many prompt tokens an engine reads in a millisecond
    */
-  public EndpointBoard(final EndpointDirectory directory, final MemorySize memorySize) {
+  public EndpointBoard(
+      final EndpointDirectory directory,
+      final MemorySize memorySize,
+      final double prefillTokensPerMs) {
     this.directory = directory;
     this.memorySize = memorySize;
+    this.prefillTokensPerMs = prefillTokensPerMs;
   }
 
   /** Tells how many tokens the engines of a service keep. */
@@ -113,12 +135,13 @@
    *
    * @param service the service
    * @param prompt the prompt's parts in order
-   * @return the number of tokens
+   * @param nowMs the current time
+   * @return the number of tokens that have been read by now
    */
-  int mostCached(final ServiceName service, final List<PromptPart> prompt) {
+  int mostCached(final ServiceName service, final List<PromptPart> prompt, final long nowMs) {
     int most = 0;
     for (final EndpointRecord entry : directory.endpoints(service)) {
-      most = Math.max(most, states.get(entry.id()).prefixes().cachedTokens(prompt));
+      most = Math.max(most, states.get(entry.id()).prefixes().readTokens(prompt, nowMs));
     }
     return most;
   }
@@ -142,7 +165,7 @@
     EndpointRecord source = null;
     for (final EndpointRecord entry : directory.endpoints(target.entry().service())) {
       final EndpointState state = states.get(entry.id());
-      final int cached = state.prefixes().cachedTokens(prompt);
+      final int cached = state.prefixes().readTokens(prompt, nowMs);
       if (state != target && cached > most && !state.isSuspect(nowMs)) {
         most = cached;
         source = entry;
@@ -157,37 +180,100 @@
    * @param endpoint where it goes
    * @param prompt its prompt, empty if it has none
    * @param source an engine that hands over what the endpoint lacks, empty if there is none
-   * @return how many prompt tokens the endpoint has to read
+   * @param nowMs the current time
+   * @return what was known of the endpoint
    */
-  public long sent(
+  public PlacementFacts sent(
       final EndpointId endpoint,
       final List<PromptPart> prompt,
-      final Optional<EndpointRecord> source) {
+      final Optional<EndpointRecord> source,
+      final long nowMs) {
     refresh();
     final EndpointState state = states.get(endpoint);
     if (state == null) {
-      return 0;
+      return new PlacementFacts(0, 0, 0, 0, 0, Optional.empty(), 0);
     }
     final long total = prompt.stream().mapToLong(PromptPart::tokens).sum();
-    final int handedOver =
-        source.map(engine -> states.get(engine.id()).prefixes().cachedTokens(prompt)).orElse(0);
-    final long pending = total - Math.max(handedOver, state.prefixes().cachedTokens(prompt));
-    state.add(1, pending);
+    final int cached = state.prefixes().cachedTokens(prompt);
+    final int atSource =
+        source
+            .map(engine -> states.get(engine.id()).prefixes().readTokens(prompt, nowMs))
+            .orElse(0);
+    final PlacementFacts facts =
+        new PlacementFacts(
+            state.inFlight(nowMs),
+            meanInFlight(state.entry().service(), nowMs),
+            total,
+            cached,
+            Math.max(0, atSource - cached),
+            source.map(EndpointRecord::id),
+            awaitMs(state, prompt, nowMs));
+    state.add(1, facts.readTokens());
     if (!prompt.isEmpty()) {
-      state.prefixes().read(prompt);
-      placements.add(
-          new PeerReport.Placement(endpoint, List.copyOf(prompt.subList(0, prompt.size() - 1))));
+      final long toRead = state.pendingTokens(nowMs) + facts.handedOverTokens();
+      final long readInMs = (long) (READING_SLACK * toRead / prefillTokensPerMs);
+      state.prefixes().read(prompt, nowMs + readInMs);
+      final List<PromptPart> shared = List.copyOf(prompt.subList(0, prompt.size() - 1));
+      placements.add(new PeerReport.Placement(endpoint, shared, readInMs));
+      coldTokens += facts.readTokens() + facts.handedOverTokens();
     }
-    return pending;
+    return facts;
+  }
+
+  /** Tells how long a request should wait for parts that its engine reads for another one. */
+  private long awaitMs(final EndpointState state, final List<PromptPart> prompt, final long nowMs) {
+    final PrefixMemory prefixes = state.prefixes();
+    final int beingRead = prefixes.cachedTokens(prompt) - prefixes.readTokens(prompt, nowMs);
+    if (beingRead < MIN_AWAITED_TOKENS) {
+      return 0;
+    }
+    return Math.min(MAX_AWAIT_MS, prefixes.readAtMs(prompt) - nowMs);
+  }
+
+  /**
+   * Tells whether engines have been sent so much to read since the last report that peers should
+   * hear of it at once, lest they send the same prompts meanwhile.
+   *
+   * @return true if a report is urgent
+   */
+  public boolean isReportUrgent() {
+    return coldTokens >= MIN_URGENT_TOKENS;
+  }
+
+  private double meanInFlight(final ServiceName service, final long nowMs) {
+    return candidates(service).stream()
+        .mapToInt(state -> state.inFlight(nowMs))
+        .average()
+        .orElse(0);
   }
 
   /**
    * Notes that an endpoint has read a prompt and begun to answer.
    *
    * @param endpoint the endpoint
-   * @param pendingTokens what {@link #sent} returned
+   * @param prompt the prompt
+   * @param pendingTokens how many tokens it had to read for the request
+   * @param nowMs the current time
    */
-  public void promptRead(final EndpointId endpoint, final long pendingTokens) {
+  public void promptRead(
+      final EndpointId endpoint,
+      final List<PromptPart> prompt,
+      final long pendingTokens,
+      final long nowMs) {
+    final EndpointState state = states.get(endpoint);
+    if (state != null) {
+      state.add(0, -pendingTokens);
+      state.prefixes().read(prompt, nowMs);
+    }
+  }
+
+  /**
+   * Notes that a request has left an endpoint before the endpoint began to answer.
+   *
+   * @param endpoint the endpoint
+   * @param pendingTokens how many tokens it had to read for the request
+   */
+  public void promptDropped(final EndpointId endpoint, final long pendingTokens) {
     final EndpointState state = states.get(endpoint);
     if (state != null) {
       state.add(0, -pendingTokens);
@@ -235,7 +321,7 @@
     for (final PeerReport.Placement placement : report.placements()) {
       final EndpointState state = states.get(placement.endpoint());
       if (state != null) {
-        state.prefixes().read(placement.sharedParts());
+        state.prefixes().read(placement.sharedParts(), nowMs + placement.readInMs());
       }
     }
     return true;
@@ -246,12 +332,13 @@
    *
    * @param endpoint the engine
    * @param parts the parts
+   * @param nowMs the current time
    */
-  public void holds(final EndpointId endpoint, final List<PromptPart> parts) {
+  public void holds(final EndpointId endpoint, final List<PromptPart> parts, final long nowMs) {
     refresh();
     final EndpointState state = states.get(endpoint);
     if (state != null) {
-      state.prefixes().read(parts);
+      state.prefixes().read(parts, nowMs);
     }
   }
 
@@ -279,6 +366,7 @@
   public List<PeerReport.Placement> takePlacements() {
     final List<PeerReport.Placement> taken = List.copyOf(placements);
     placements.clear();
+    coldTokens = 0;
     return taken;
   }
 
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -79,7 +79,7 @@
     }
     final double bound = bound(candidates, nowMs);
     final EndpointState home = home(candidates, prompt, nowMs);
-    final int held = board.mostCached(service, prompt);
+    final int held = board.mostCached(service, prompt, nowMs);
     return best(
         candidates,
         excluded,
--- a/src/main/java/org/bulrushweir/balancing/PeerReport.java
+++ b/src/main/java/org/bulrushweir/balancing/PeerReport.java
@@ -28,6 +28,7 @@
    *
    * @param endpoint the endpoint
    * @param sharedParts the parts that other requests share
+   * @param readInMs in which time the endpoint will have read them, in milliseconds
    */
-  public record Placement(EndpointId endpoint, List<PromptPart> sharedParts) {}
+  public record Placement(EndpointId endpoint, List<PromptPart> sharedParts, long readInMs) {}
 }
--- a/src/main/java/org/bulrushweir/balancing/PrefixMemory.java
+++ b/src/main/java/org/bulrushweir/balancing/PrefixMemory.java
@@ -3,7 +3,6 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Remembers which parts of prompts an engine has read lately, as it most likely keeps them: the
@@ -14,7 +13,7 @@
   private static final int INITIAL_PARTS = 64;
   private static final float LOAD_FACTOR = 0.75f;
 
-  private final LinkedHashMap<Long, Integer> parts =
+  private final LinkedHashMap<Long, HeldPart> parts =
       new LinkedHashMap<>(INITIAL_PARTS, LOAD_FACTOR, true);
   private final long capacityTokens;
   private long tokens;
@@ -29,15 +28,31 @@
   }
 
   /**
-   * Counts the tokens of a prompt that need not be read again.
+   * Counts the tokens of a prompt that need not be read again once those before it are read.
    *
    * @param prompt the prompt's parts in order
    * @return the tokens of the first parts that are all remembered
    */
   int cachedTokens(final List<PromptPart> prompt) {
+    return tokensUntil(prompt, Long.MAX_VALUE);
+  }
+
+  /**
+   * Counts the tokens of a prompt that have been read.
+   *
+   * @param prompt the prompt's parts in order
+   * @param nowMs the current time
+   * @return the tokens of the first parts that are all remembered and read by now
+   */
+  int readTokens(final List<PromptPart> prompt, final long nowMs) {
+    return tokensUntil(prompt, nowMs);
+  }
+
+  private int tokensUntil(final List<PromptPart> prompt, final long untilMs) {
     int cached = 0;
     for (final PromptPart part : prompt) {
-      if (!parts.containsKey(part.id())) {
+      final HeldPart held = parts.get(part.id());
+      if (held == null || held.readAtMs > untilMs) {
         return cached;
       }
       cached += part.tokens();
@@ -45,19 +60,43 @@
     return cached;
   }
 
+  /**
+   * Tells when the remembered parts of a prompt will all have been read.
+   *
+   * @param prompt the prompt's parts in order
+   * @return the time in milliseconds, {@link Long#MIN_VALUE} if none is remembered
+   */
+  long readAtMs(final List<PromptPart> prompt) {
+    long latestMs = Long.MIN_VALUE;
+    for (final PromptPart part : prompt) {
+      final HeldPart held = parts.get(part.id());
+      if (held == null) {
+        return latestMs;
+      }
+      latestMs = Math.max(latestMs, held.readAtMs);
+    }
+    return latestMs;
+  }
+
   /**
    * Notes that the engine reads a prompt.
    *
    * @param prompt the prompt's parts in order
+   * @param readAtMs when it will have read the parts that it does not hold yet
    */
-  void read(final List<PromptPart> prompt) {
+  void read(final List<PromptPart> prompt, final long readAtMs) {
     for (final PromptPart part : prompt) {
-      final Integer known = parts.put(part.id(), part.tokens());
-      tokens += part.tokens() - (known == null ? 0 : known);
+      final HeldPart held = parts.get(part.id());
+      if (held == null) {
+        parts.put(part.id(), new HeldPart(part.tokens(), readAtMs));
+        tokens += part.tokens();
+      } else {
+        held.readAtMs = Math.min(held.readAtMs, readAtMs);
+      }
     }
-    final Iterator<Map.Entry<Long, Integer>> oldest = parts.entrySet().iterator();
+    final Iterator<HeldPart> oldest = parts.values().iterator();
     while (tokens > capacityTokens && oldest.hasNext()) {
-      tokens -= oldest.next().getValue();
+      tokens -= oldest.next().tokens;
       oldest.remove();
     }
   }
@@ -67,4 +106,15 @@
     parts.clear();
     tokens = 0;
   }
+
+  /** A part that an engine holds, or is about to hold. */
+  private static final class HeldPart {
+    private final int tokens;
+    private long readAtMs;
+
+    HeldPart(final int tokens, final long readAtMs) {
+      this.tokens = tokens;
+      this.readAtMs = readAtMs;
+    }
+  }
 }
--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -171,7 +171,7 @@
 
   /** Refuses a request whose end can't be found or is not worth reading, and closes. */
   private void refuseAndClose(final HttpResponseStatus status) {
-    core.refusedUnread(status.code());
+    core.log().refused("", status.code(), "unread");
     discarding = true;
     keepAlive = false;
     answering = true;
@@ -294,7 +294,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext failed, final Throwable cause) {
-    core.callerFailed(cause);
+    core.log().callerFailed(cause);
     failed.close();
   }
 
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.balancing.AttemptOutcome;
+import org.bulrushweir.balancing.PlacementFacts;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.platform.AnswerTranslator;
 import org.bulrushweir.platform.RequestTranslator;
@@ -178,24 +179,43 @@
     current = attempt;
     attempt.cacheSource =
         core.board().cacheSource(send.endpoint(), order.head().prompt(), core.nowMs());
-    attempt.pendingTokens =
-        core.board().sent(send.endpoint(), order.head().prompt(), attempt.cacheSource);
+    attempt.placement =
+        core.board()
+            .sent(send.endpoint(), order.head().prompt(), attempt.cacheSource, core.nowMs());
+    attempt.pendingTokens = attempt.placement.readTokens();
     if (endpoint.isEmpty()) {
       attempt.left(AttemptOutcome.ABANDONED);
       handle(new RelayEvent.NotSent(send.attempt(), "the endpoint is gone"));
       return;
     }
+    core.placed();
+    final long awaitMs = attempt.placement.awaitMs();
+    if (awaitMs > 0) {
+      core.loop()
+          .schedule(
+              () -> connect(attempt, endpoint.get(), send.resume()),
+              awaitMs,
+              TimeUnit.MILLISECONDS);
+      return;
+    }
+    connect(attempt, endpoint.get(), send.resume());
+  }
+
+  private void connect(final Attempt attempt, final EndpointRecord endpoint, final boolean resume) {
+    if (attempt.over) {
+      return;
+    }
     core.pool()
         .acquire(
-            endpoint.get(),
+            endpoint,
             order.maxIdleMs(),
-            connection -> connected(attempt, connection, send.resume()),
+            connection -> connected(attempt, connection, resume),
             detail -> notConnected(attempt, detail));
   }
 
   private void notConnected(final Attempt attempt, final String detail) {
     attempt.left(AttemptOutcome.UNREACHABLE);
-    core.attemptFailed(order, attempt.endpoint, "not sent", detail);
+    core.log().attemptFailed(order, attempt.endpoint, attempt.placement, "not sent", detail);
     handle(new RelayEvent.NotSent(attempt.id, detail));
   }
 
@@ -256,7 +276,8 @@
     core.finished(
         order,
         new ExchangeResult(
-            current == null ? Optional.empty() : Optional.of(current.endpoint),
+            Optional.ofNullable(current).map(attempt -> attempt.endpoint),
+            Optional.ofNullable(current).map(attempt -> attempt.placement),
             current == null || current.response == null ? 0 : current.response.status().code(),
             machine.attempts(),
             outcome,
@@ -270,11 +291,13 @@
     private final AttemptId id;
     private final EndpointId endpoint;
     private Optional<EndpointRecord> cacheSource = Optional.empty();
+    private PlacementFacts placement;
     private long pendingTokens;
     private EndpointConnection connection;
     private HttpResponse response;
     private AnswerHead head;
     private ByteBuf held;
+    private boolean answerBegun;
     private boolean over;
 
     Attempt(final AttemptId id, final EndpointId endpoint) {
@@ -283,13 +306,18 @@
     }
 
     private void promptRead() {
-      core.board().promptRead(endpoint, pendingTokens);
+      if (answerBegun) {
+        return;
+      }
+      answerBegun = true;
+      core.board().promptRead(endpoint, order.head().prompt(), pendingTokens, core.nowMs());
       pendingTokens = 0;
     }
 
     private void left(final AttemptOutcome outcome) {
       over = true;
-      promptRead();
+      core.board().promptDropped(endpoint, pendingTokens);
+      pendingTokens = 0;
       core.board().left(endpoint, outcome, core.nowMs());
     }
 
@@ -327,7 +355,9 @@
         part.release();
         return;
       }
-      promptRead();
+      if (head.success()) {
+        promptRead();
+      }
       if (held != null) {
         held.writeBytes(part);
         part.release();
@@ -396,7 +426,7 @@
       left(AttemptOutcome.FAILED);
       held = null;
       cutter.restart();
-      core.attemptFailed(order, endpoint, "broken", detail);
+      core.log().attemptFailed(order, endpoint, placement, "broken", detail);
       handle(new RelayEvent.Broken(id, detail));
     }
   }
--- a/src/main/java/org/bulrushweir/gateway/ExchangeResult.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeResult.java
@@ -2,11 +2,13 @@
 
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.balancing.PlacementFacts;
 
 /**
  * Says how a request came to its end.
  *
  * @param endpoint the last endpoint that it was sent to
+ * @param placement what was known of that endpoint
  * @param status the status of that endpoint's answer, zero without one
  * @param attempts how many attempts there were
  * @param outcome what the caller got
@@ -15,6 +17,7 @@
  */
 record ExchangeResult(
     Optional<EndpointId> endpoint,
+    Optional<PlacementFacts> placement,
     int status,
     int attempts,
     String outcome,
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.balancing.EndpointBoard;
 import org.bulrushweir.balancing.EndpointSelector;
@@ -24,7 +23,6 @@
 import org.bulrushweir.catalog.Route;
 import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.catalog.Tenant;
-import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.platform.RequestTranslator;
 import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.relay.RelayLimits;
@@ -54,7 +52,6 @@
   private static final long NOT_DRAINING = -1;
 
   private final Set<CallerHandler> connections = new HashSet<>();
-  private final NodeId node;
   private final Clock clock;
   private final EventLoop loop;
   private final PlanHolder plans;
@@ -63,10 +60,10 @@
   private final EndpointSelector selector;
   private final RepeatAllowance allowance;
   private final ConnectionPool pool;
-  private final GatewayMetrics metrics;
-  private final AsyncLogWriter log;
+  private final RequestLog log;
   private final DrainPolicy drainPolicy;
   private final StartGate gate;
+  private final PeerMesh mesh;
   private long drainingSinceMs = NOT_DRAINING;
   private int inFlight;
   private long lastConnectionMs;
@@ -74,7 +71,6 @@
   /**
    * Creates the core.
    *
-   * @param node the process's id
    * @param clock the clock
    * @param loop the event loop
    * @param plans holds the plan in force
@@ -83,13 +79,12 @@
    * @param selector chooses endpoints
    * @param allowance bounds repeats
    * @param pool keeps connections to endpoints
-   * @param metrics the metrics
    * @param drainPolicy decides what is still taken while stopping
    * @param gate holds requests until the store was read
-   * @param log takes a line for each decision
+   * @param mesh tells peers where prompts were sent
+   * @param log counts and logs what becomes of requests
    */
   GatewayCore(
-      final NodeId node,
       final Clock clock,
       final EventLoop loop,
       final PlanHolder plans,
@@ -98,11 +93,10 @@
       final EndpointSelector selector,
       final RepeatAllowance allowance,
       final ConnectionPool pool,
-      final GatewayMetrics metrics,
       final DrainPolicy drainPolicy,
       final StartGate gate,
-      final AsyncLogWriter log) {
-    this.node = node;
+      final PeerMesh mesh,
+      final RequestLog log) {
     this.clock = clock;
     this.loop = loop;
     this.plans = plans;
@@ -111,9 +105,9 @@
     this.selector = selector;
     this.allowance = allowance;
     this.pool = pool;
-    this.metrics = metrics;
     this.drainPolicy = drainPolicy;
     this.gate = gate;
+    this.mesh = mesh;
     this.log = log;
   }
 
@@ -279,8 +273,7 @@
       final HttpResponseStatus status,
       final String detail) {
     final boolean promised = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
-    metrics.refused("none", Integer.toString(status.code()));
-    log.offer(line("refused", id, "", "", 0, 0, -1, 0, Integer.toString(status.code()), detail));
+    log.refused(id, status.code(), detail);
     caller.refuse(status, promised ? spreadRetryAfterMs() : 0);
   }
 
@@ -288,15 +281,6 @@
     return ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
   }
 
-  void refusedUnread(final int status) {
-    metrics.refused("none", Integer.toString(status));
-    log.offer(line("refused", "", "", "", 0, 0, -1, 0, Integer.toString(status), "unread"));
-  }
-
-  void callerFailed(final Throwable cause) {
-    log.offer(line("caller_failed", "", "", "", 0, 0, -1, 0, "closed", cause.toString()));
-  }
-
   /**
    * Chooses an endpoint for a request.
    *
@@ -315,6 +299,11 @@
         nowMs);
   }
 
+  /** Notes that a request was given to an endpoint. */
+  void placed() {
+    mesh.placed();
+  }
+
   boolean tryRepeat(final ServiceName service, final long nowMs) {
     return allowance.tryRepeat(service, nowMs);
   }
@@ -327,32 +316,8 @@
     return directory.find(endpoint);
   }
 
-  /**
-   * Notes an attempt without a whole answer.
-   *
-   * @param order the request
-   * @param endpoint where it was sent
-   * @param result what became of it
-   * @param detail what happened
-   */
-  void attemptFailed(
-      final ExchangeOrder order,
-      final EndpointId endpoint,
-      final String result,
-      final String detail) {
-    metrics.attemptFailed(result);
-    log.offer(
-        line(
-            "attempt_failed",
-            order.head().id(),
-            order.route().name(),
-            endpoint.value(),
-            0,
-            0,
-            -1,
-            clock.nowMs() - order.arrivedMs(),
-            result,
-            detail));
+  RequestLog log() {
+    return log;
   }
 
   /**
@@ -363,54 +328,6 @@
    */
   void finished(final ExchangeOrder order, final ExchangeResult result) {
     inFlight--;
-    final long totalMs = clock.nowMs() - order.arrivedMs();
-    metrics.request(order.route().kind(), result.outcome(), totalMs);
-    long firstMs = -1;
-    if (result.firstPartMs() >= 0) {
-      firstMs = result.firstPartMs() - order.arrivedMs();
-      metrics.firstPart(order.route().kind(), firstMs);
-    }
-    log.offer(
-        line(
-            "request",
-            order.head().id(),
-            order.route().name(),
-            result.endpoint().map(EndpointId::value).orElse(""),
-            result.status(),
-            result.attempts(),
-            firstMs,
-            totalMs,
-            result.outcome(),
-            result.detail()));
-  }
-
-  private RequestLine line(
-      final String event,
-      final String request,
-      final String route,
-      final String endpoint,
-      final int status,
-      final int attempts,
-      final long firstMs,
-      final long totalMs,
-      final String outcome,
-      final String detail) {
-    final long nowMs = clock.nowMs();
-    return new RequestLine(
-        nowMs,
-        node.value(),
-        event,
-        request,
-        route,
-        endpoint,
-        endpoint.isEmpty() ? 0 : board.inFlight(new EndpointId(endpoint), nowMs),
-        plans.inForce().map(RoutingPlan::version).orElse(0L),
-        plans.ageMs(nowMs),
-        status,
-        attempts,
-        firstMs,
-        totalMs,
-        outcome,
-        detail);
+    log.finished(order, result);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -76,7 +76,6 @@
   private final EndpointListener endpointListener;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
-  private DatagramTransport transport;
   private int callersPort;
   private int statusPort;
 
@@ -119,16 +118,18 @@
                     .inForce()
                     .flatMap(plan -> plan.service(service))
                     .map(ServicePlan::kvCapacityTokens)
-                    .orElse(0L));
+                    .orElse(0L),
+            settings.selector().prefillTokensPerMs());
     final StartGate gate =
         new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
     gate.whenRead(() -> askEngines(plans, directory, board));
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
+    this.mesh =
+        new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance, loop);
     this.core =
         new GatewayCore(
-            settings.node(),
             clock,
             loop,
             plans,
@@ -137,11 +138,10 @@
             new EndpointSelector(board, settings.zone(), settings.selector()),
             allowance,
             pool,
-            metrics,
             drainPolicy,
             gate,
-            log);
-    this.mesh = new PeerMesh(settings.node(), settings.peers(), clock, board, plans, allowance);
+            mesh,
+            new RequestLog(settings.node(), clock, plans, metrics, log));
     this.endpointListener = new EndpointListener(directory, clock);
     this.followers =
         List.of(
@@ -181,7 +181,7 @@
     }
   }
 
-  private static void told(
+  private void told(
       final EndpointBoard board,
       final EndpointRecord engine,
       final List<PromptPart> parts,
@@ -190,7 +190,7 @@
       logger.atInfo().log("engine %s does not say what it holds: %s", engine.id(), failure);
       return;
     }
-    board.holds(engine.id(), parts);
+    board.holds(engine.id(), parts, clock.nowMs());
     logger.atInfo().log("engine %s holds %d parts", engine.id(), parts.size());
   }
 
@@ -229,8 +229,7 @@
     statusPort = bindStatus(settings.readiness());
     bindStatus(settings.metrics());
     final SocketAddressSettings peers = settings.peers();
-    transport = DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive);
-    mesh.bound(transport.port());
+    mesh.bound(DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive));
     followers.forEach(TableFollower::start);
     final EventLoop loop = loops.loop();
     loop.execute(this::register);
@@ -250,7 +249,7 @@
 
   private void keepHouse() {
     endpointListener.expire();
-    mesh.report(transport, false);
+    mesh.report(false);
   }
 
   private int bindStatus(final SocketAddressSettings address) {
@@ -356,7 +355,7 @@
       done = loops.loop().submit(() -> isDrained(startMs)).syncUninterruptibly().getNow();
     }
     followers.forEach(TableFollower::stop);
-    loops.loop().submit(() -> mesh.report(transport, true)).syncUninterruptibly();
+    loops.loop().submit(() -> mesh.report(true)).syncUninterruptibly();
     logger.atInfo().log("stopped; %d requests broken off", core.inFlight());
   }
 
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -3,9 +3,11 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.EndpointBoard;
@@ -29,6 +31,12 @@
   /** For how long a silent peer gets every report, in milliseconds. */
   private static final long LIVELY_MS = 3_000;
 
+  /**
+   * The least time between reports, in milliseconds: a fifth of the time in which an engine reads a
+   * long prompt.
+   */
+  private static final long MIN_INTERVAL_MS = 20;
+
   /** Every which report a silent peer gets. */
   private static final long SPARSE = 10;
 
@@ -39,8 +47,12 @@
   private final EndpointBoard board;
   private final PlanHolder plans;
   private final RepeatAllowance allowance;
+  private final EventLoop loop;
   private final long incarnation;
+  private DatagramTransport transport;
   private long sequence;
+  private long reportedMs;
+  private boolean reportScheduled;
 
   /**
    * Creates a mesh without peers.
@@ -51,6 +63,7 @@
    * @param board takes the reports
    * @param plans holds the plan in force
    * @param allowance is divided by the number of gateways
+   * @param loop the event loop
    */
   PeerMesh(
       final NodeId self,
@@ -58,23 +71,26 @@
       final Clock clock,
       final EndpointBoard board,
       final PlanHolder plans,
-      final RepeatAllowance allowance) {
+      final RepeatAllowance allowance,
+      final EventLoop loop) {
     this.self = self;
     this.address = address;
     this.clock = clock;
     this.board = board;
     this.plans = plans;
     this.allowance = allowance;
+    this.loop = loop;
     this.incarnation = System.nanoTime() ^ clock.nowMs();
   }
 
   /**
-   * Notes the port that was bound, which the settings may leave open.
+   * Notes the socket that was bound; the settings may leave its port open.
    *
-   * @param port the port
+   * @param socket the socket
    */
-  void bound(final int port) {
-    address = new SocketAddressSettings(address.host(), port);
+  void bound(final DatagramTransport socket) {
+    transport = socket;
+    address = new SocketAddressSettings(address.host(), socket.port());
   }
 
   /**
@@ -148,13 +164,24 @@
     count();
   }
 
+  /** Sends a report soon if peers should hear at once where prompts were sent. */
+  void placed() {
+    if (reportScheduled || !board.isReportUrgent()) {
+      return;
+    }
+    reportScheduled = true;
+    final long delayMs = Math.max(0, reportedMs + MIN_INTERVAL_MS - clock.nowMs());
+    loop.schedule(() -> report(false), delayMs, TimeUnit.MILLISECONDS);
+  }
+
   /**
    * Sends a report to the peers.
    *
-   * @param transport sends it
    * @param leaving whether it is the last one
    */
-  void report(final DatagramTransport transport, final boolean leaving) {
+  void report(final boolean leaving) {
+    reportScheduled = false;
+    reportedMs = clock.nowMs();
     sequence++;
     final PeerReport report =
         new PeerReport(
--- a/src/main/java/org/bulrushweir/gateway/PeerMessages.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMessages.java
@@ -49,7 +49,9 @@
                         .setPendingTokens(Math.max(0, load.pendingTokens()))));
     for (final PeerReport.Placement placement : report.placements()) {
       final PromptPlacement.Builder entry =
-          PromptPlacement.newBuilder().setEndpoint(placement.endpoint().value());
+          PromptPlacement.newBuilder()
+              .setEndpoint(placement.endpoint().value())
+              .setReadInMs((int) placement.readInMs());
       for (final PromptPart part : placement.sharedParts()) {
         entry.addPartIds(part.id()).addPartTokens(part.tokens());
       }
@@ -77,7 +79,9 @@
       for (int index = 0; index < placement.getPartIdsCount(); index++) {
         parts.add(new PromptPart(placement.getPartIds(index), placement.getPartTokens(index)));
       }
-      placements.add(new PeerReport.Placement(new EndpointId(placement.getEndpoint()), parts));
+      placements.add(
+          new PeerReport.Placement(
+              new EndpointId(placement.getEndpoint()), parts, placement.getReadInMs()));
     }
     return new PeerReport(
         new NodeId(message.getNode()),
--- a/src/main/java/org/bulrushweir/gateway/RequestLine.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLine.java
@@ -5,6 +5,10 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.balancing.PlacementFacts;
 import org.bulrushweir.logging.LogLine;
 
 /**
@@ -16,60 +20,86 @@
  * @param request the caller's id of the request
  * @param route the route, empty if none was found
  * @param endpoint the endpoint, empty if there is none
- * @param inFlight how many requests the endpoint had, as far as was known
+ * @param placement what was known of the endpoint when the request was sent
  * @param planVersion the version of the plan that decided, zero for none
  * @param planAgeMs how old the store's last confirmation of it was, in milliseconds
- * @param status the endpoint's status, zero without one
- * @param attempts how many attempts there were
- * @param firstMs after which time the answer began, in milliseconds, negative if it did not
- * @param totalMs how long the request took, in milliseconds
- * @param outcome what became of it
- * @param detail what happened
+ * @param end what became of it
  */
 record RequestLine(
     long timeMs,
-    String node,
+    NodeId node,
     String event,
     String request,
     String route,
-    String endpoint,
-    int inFlight,
+    Optional<EndpointId> endpoint,
+    Optional<PlacementFacts> placement,
     long planVersion,
     long planAgeMs,
-    int status,
-    int attempts,
-    long firstMs,
-    long totalMs,
-    String outcome,
-    String detail)
+    End end)
     implements LogLine {
 
   private static final JsonFactory JSON = new JsonFactory();
 
+  /**
+   * What became of a request or of one attempt.
+   *
+   * @param status the endpoint's status, zero without one
+   * @param attempts how many attempts there were
+   * @param firstMs after which time the answer began, in milliseconds, negative if it did not
+   * @param totalMs how long it took, in milliseconds
+   * @param outcome what became of it
+   * @param detail what happened
+   */
+  record End(int status, int attempts, long firstMs, long totalMs, String outcome, String detail) {}
+
   @Override
   public String text() {
     final StringWriter text = new StringWriter();
     try (JsonGenerator json = JSON.createGenerator(text)) {
       json.writeStartObject();
       json.writeNumberField("time_ms", timeMs);
-      json.writeStringField("node", node);
+      json.writeStringField("node", node.value());
       json.writeStringField("event", event);
       json.writeStringField("request", request);
       json.writeStringField("route", route);
-      json.writeStringField("endpoint", endpoint);
-      json.writeNumberField("in_flight", inFlight);
+      json.writeStringField("endpoint", endpoint.map(EndpointId::value).orElse(""));
+      if (placement.isPresent()) {
+        writePlacement(json, placement.get());
+      }
       json.writeNumberField("plan", planVersion);
       json.writeNumberField("plan_age_ms", planAgeMs);
-      json.writeNumberField("status", status);
-      json.writeNumberField("attempts", attempts);
-      json.writeNumberField("first_ms", firstMs);
-      json.writeNumberField("total_ms", totalMs);
-      json.writeStringField("outcome", outcome);
-      json.writeStringField("detail", detail);
+      writeEnd(json);
       json.writeEndObject();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
     return text.toString();
   }
+
+  private static void writePlacement(final JsonGenerator json, final PlacementFacts placement)
+      throws IOException {
+    json.writeNumberField("in_flight", placement.inFlight());
+    json.writeNumberField("mean_in_flight", Math.round(placement.meanInFlight()));
+    if (placement.promptTokens() == 0) {
+      return;
+    }
+    json.writeNumberField("prompt_tokens", placement.promptTokens());
+    json.writeNumberField("cached_tokens", placement.cachedTokens());
+    json.writeNumberField("await_ms", placement.awaitMs());
+    if (placement.source().isPresent()) {
+      json.writeNumberField("handed_over_tokens", placement.handedOverTokens());
+      json.writeStringField("handed_over_by", placement.source().get().value());
+    }
+  }
+
+  private void writeEnd(final JsonGenerator json) throws IOException {
+    json.writeNumberField("status", end.status());
+    json.writeNumberField("attempts", end.attempts());
+    json.writeNumberField("first_ms", end.firstMs());
+    json.writeNumberField("total_ms", end.totalMs());
+    json.writeStringField("outcome", end.outcome());
+    if (!end.detail().isEmpty()) {
+      json.writeStringField("detail", end.detail());
+    }
+  }
 }
--- a/src/main/java/org/bulrushweir/gateway/StatusHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/StatusHandler.java
@@ -71,7 +71,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-    core.callerFailed(cause);
+    core.log().callerFailed(cause);
     context.close();
   }
 }
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -71,6 +71,9 @@
   /** The last list of VMs. */
   private volatile VmDirectory vms = VmDirectory.EMPTY;
 
+  /** Whether the last reading of the list succeeded; used by the executor only. */
+  private boolean listReadable = true;
+
   /**
    * Creates the service.
    *
@@ -107,11 +110,19 @@
   private void poll() {
     try {
       final List<Vm> listed = store.vms().join();
+      if (!listReadable) {
+        listReadable = true;
+        logger.atInfo().log("the list of VMs can be read again");
+      }
       if (!vms.equalsList(listed)) {
         vms = new VmDirectory(listed);
+        logger.atInfo().log("the list of VMs has changed: %s", listed);
       }
     } catch (RuntimeException e) {
-      logger.atFine().log("the list of VMs can't be read: %s", e.getMessage());
+      if (listReadable) {
+        listReadable = false;
+        logger.atWarning().log("the list of VMs can't be read: %s", e.getMessage());
+      }
     }
   }
 
--- a/src/main/java/org/bulrushweir/wire/DatagramTransport.java
+++ b/src/main/java/org/bulrushweir/wire/DatagramTransport.java
@@ -1,16 +1,20 @@
 package org.bulrushweir.wire;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -18,9 +22,14 @@
 /** Sends and receives datagrams. */
 public final class DatagramTransport implements AutoCloseable {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** How long closing may take, in milliseconds. */
   private static final long CLOSE_TIMEOUT_MS = 1_000;
 
+  /** The largest datagram that IPv4 carries, in bytes; longer reads would cut off its end. */
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
+
   /** The thread that receives. */
   private final EventLoopGroup group;
 
@@ -64,6 +73,8 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new Receiver(receiver))
             .bind(host, port)
             .syncUninterruptibly()
@@ -115,7 +126,11 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-      // A peer that does not listen any more is no fault of ours; datagrams may be lost.
+      if (cause instanceof IOException) {
+        logger.atFine().log("a datagram was lost: %s", cause.getMessage());
+        return;
+      }
+      logger.atWarning().withCause(cause).log("a datagram could not be handled");
     }
   }
 }
--- a/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
@@ -43,11 +43,12 @@
       final List<PromptPart> prompt = prompt(second % 4, second, number);
       final int router = random.nextInt(ROUTERS);
       final EndpointId chosen = routers.choose(router, prompt, number).orElseThrow();
-      final long pending = routers.boards.get(router).sent(chosen, prompt, Optional.empty());
+      final long pending =
+          routers.boards.get(router).sent(chosen, prompt, Optional.empty(), 0).readTokens();
       read += pending - OWN_TOKENS;
       homesOfFirst.computeIfAbsent(second % 4, key -> new HashSet<>()).add(chosen);
       seen.add(second);
-      routers.boards.get(router).promptRead(chosen, pending);
+      routers.boards.get(router).promptRead(chosen, prompt, pending, 0);
       routers.boards.get(router).left(chosen, AttemptOutcome.ANSWERED, 0);
       if (number % 3 == 0) {
         routers.exchange(0);
@@ -66,8 +67,9 @@
       final int router = number % ROUTERS;
       final List<PromptPart> prompt = prompt(1, 1, number);
       final EndpointId chosen = routers.choose(router, prompt, number).orElseThrow();
-      final long pending = routers.boards.get(router).sent(chosen, prompt, Optional.empty());
-      routers.boards.get(router).promptRead(chosen, pending);
+      final long pending =
+          routers.boards.get(router).sent(chosen, prompt, Optional.empty(), 0).readTokens();
+      routers.boards.get(router).promptRead(chosen, prompt, pending, 0);
       if (router == ROUTERS - 1) {
         routers.exchange(0);
       }
@@ -102,7 +104,8 @@
     final List<PromptPart> prompt = prompt(1, 1, 1);
     final EndpointBoard board = routers.boards.getFirst();
     final EndpointId home = routers.choose(0, prompt, 1).orElseThrow();
-    board.sent(home, prompt, Optional.empty());
+    board.sent(home, prompt, Optional.empty(), 0);
+    board.promptRead(home, prompt, 0, 0);
     routers.add(Integer.parseInt(home.value().substring(1)), true);
     final EndpointId next = routers.choose(0, prompt, 1).orElseThrow();
     assertNotEquals(home, next);
@@ -124,7 +127,7 @@
               .getFirst()
               .choose(SimulatedRouters.SERVICE, List.of(), number, Set.of(), nowMs)
               .orElseThrow();
-      board.sent(chosen, List.of(), Optional.empty());
+      board.sent(chosen, List.of(), Optional.empty(), 0);
       toFailing += chosen.equals(failing) ? 1 : 0;
       board.left(
           chosen, chosen.equals(failing) ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED, nowMs);
@@ -135,9 +138,9 @@
   @Test
   void restartedEndpointHoldsNothing() {
     final PrefixMemory memory = new PrefixMemory(10_000);
-    memory.read(prompt(1, 1, 1));
+    memory.read(prompt(1, 1, 1), 0);
     assertEquals(FIRST_TOKENS + SECOND_TOKENS, memory.cachedTokens(prompt(1, 1, 2)));
-    memory.read(prompt(2, 2, 3));
+    memory.read(prompt(2, 2, 3), 0);
     assertEquals(0, memory.cachedTokens(prompt(1, 1, 2)), "the least recently used parts yield");
     memory.clear();
     assertEquals(0, memory.cachedTokens(prompt(2, 2, 4)));
--- a/src/test/java/org/bulrushweir/balancing/SimulatedRouters.java
+++ b/src/test/java/org/bulrushweir/balancing/SimulatedRouters.java
@@ -35,7 +35,7 @@
       add(number, false);
     }
     for (int number = 0; number < routers; number++) {
-      final EndpointBoard board = new EndpointBoard(directory, service -> MEMORY_TOKENS);
+      final EndpointBoard board = new EndpointBoard(directory, service -> MEMORY_TOKENS, 69.8);
       boards.add(board);
       selectors.add(new EndpointSelector(board, ZONE, new SelectorSettings(2, 69.8)));
     }
--- a/src/test/java/org/bulrushweir/process/Fleet.java
+++ b/src/test/java/org/bulrushweir/process/Fleet.java
@@ -184,7 +184,10 @@
         HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + platformPort + path))
             .PUT(HttpRequest.BodyPublishers.ofString(body))
             .build();
-    http.send(request, HttpResponse.BodyHandlers.discarding());
+    final HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+    if (response.statusCode() / 100 != 2) {
+      throw new IOException(path + ": " + response.statusCode() + " " + response.body());
+    }
   }
 
   /**
--- /dev/null
+++ b/src/test/java/org/bulrushweir/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Tests the connections between our processes. */
+package org.bulrushweir.wire;
