--- a/src/main/java/org/bulrushweir/command/DemoCommand.java
+++ b/src/main/java/org/bulrushweir/command/DemoCommand.java
@@ -10,6 +10,7 @@
 import joptsimple.OptionSet;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.demo.Demo;
+import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.logging.LogSetup;
 import org.bulrushweir.settings.LogFormat;
 import org.bulrushweir.settings.LogLevel;
@@ -50,9 +51,10 @@
 
   @Override
   public ExitCode run(final OptionSet options, final Console console) throws IOException {
-    LogSetup.install(LogFormat.TEXT, LogLevel.WARNING, new NodeId("demo"));
     final Demo demo = new Demo(console.out(), new SplittableRandom((Long) options.valueOf(SEED)));
-    try (PrintStream log = new PrintStream(log(options))) {
+    try (PrintStream log = new PrintStream(log(options));
+        AsyncLogWriter writer = new AsyncLogWriter(log, AsyncLogWriter.DEFAULT_CAPACITY)) {
+      LogSetup.install(LogFormat.JSON, LogLevel.INFO, new NodeId("demo"), writer);
       return demo.run((Integer) options.valueOf(REQUESTS), log) ? ExitCode.OK : ExitCode.FAILED;
     }
   }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -123,6 +123,8 @@
     final StartGate gate =
         new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
     gate.whenRead(() -> askEngines(plans, directory, board));
+    gate.whenRead(this::register);
+    gate.whenRead(this::readRouters);
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
@@ -232,8 +234,6 @@
     mesh.bound(DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive));
     followers.forEach(TableFollower::start);
     final EventLoop loop = loops.loop();
-    loop.execute(this::register);
-    loop.execute(this::readRouters);
     loop.scheduleWithFixedDelay(
         this::keepHouse, REPORT_INTERVAL_MS, REPORT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
--- a/src/main/java/org/bulrushweir/gateway/RequestLine.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLine.java
@@ -1,14 +1,12 @@
 package org.bulrushweir.gateway;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.io.StringWriter;
-import java.io.UncheckedIOException;
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.PlacementFacts;
+import org.bulrushweir.logging.JsonLine;
 import org.bulrushweir.logging.LogLine;
 
 /**
@@ -38,8 +36,6 @@
     End end)
     implements LogLine {
 
-  private static final JsonFactory JSON = new JsonFactory();
-
   /**
    * What became of a request or of one attempt.
    *
@@ -54,26 +50,22 @@
 
   @Override
   public String text() {
-    final StringWriter text = new StringWriter();
-    try (JsonGenerator json = JSON.createGenerator(text)) {
-      json.writeStartObject();
-      json.writeNumberField("time_ms", timeMs);
-      json.writeStringField("node", node.value());
-      json.writeStringField("event", event);
-      json.writeStringField("request", request);
-      json.writeStringField("route", route);
-      json.writeStringField("endpoint", endpoint.map(EndpointId::value).orElse(""));
-      if (placement.isPresent()) {
-        writePlacement(json, placement.get());
-      }
-      json.writeNumberField("plan", planVersion);
-      json.writeNumberField("plan_age_ms", planAgeMs);
-      writeEnd(json);
-      json.writeEndObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    return JsonLine.of(this::write);
+  }
+
+  private void write(final JsonGenerator json) throws IOException {
+    json.writeNumberField("time_ms", timeMs);
+    json.writeStringField("node", node.value());
+    json.writeStringField("event", event);
+    json.writeStringField("request", request);
+    json.writeStringField("route", route);
+    json.writeStringField("endpoint", endpoint.map(EndpointId::value).orElse(""));
+    if (placement.isPresent()) {
+      writePlacement(json, placement.get());
     }
-    return text.toString();
+    json.writeNumberField("plan", planVersion);
+    json.writeNumberField("plan_age_ms", planAgeMs);
+    writeEnd(json);
   }
 
   private static void writePlacement(final JsonGenerator json, final PlacementFacts placement)
--- a/src/main/java/org/bulrushweir/logging/JsonFormatter.java
+++ b/src/main/java/org/bulrushweir/logging/JsonFormatter.java
@@ -1,10 +1,8 @@
 package org.bulrushweir.logging;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.JsonProperty;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.google.common.base.Throwables;
+import java.io.IOException;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 import org.bulrushweir.api.NodeId;
@@ -12,7 +10,6 @@
 /** Writes each record as a JSON object on a line of its own. */
 final class JsonFormatter extends Formatter {
 
-  private final ObjectMapper mapper = new ObjectMapper();
   private final NodeId node;
 
   /**
@@ -26,38 +23,18 @@
 
   @Override
   public String format(final LogRecord logRecord) {
+    return JsonLine.of(json -> write(json, logRecord)) + '\n';
+  }
+
+  private void write(final JsonGenerator json, final LogRecord logRecord) throws IOException {
+    json.writeStringField("time", logRecord.getInstant().toString());
+    json.writeStringField("level", logRecord.getLevel().getName());
+    json.writeStringField("node", node.value());
+    json.writeStringField("logger", logRecord.getLoggerName());
+    json.writeStringField("message", formatMessage(logRecord));
     final Throwable thrown = logRecord.getThrown();
-    final JsonRecord json =
-        new JsonRecord(
-            logRecord.getInstant().toString(),
-            logRecord.getLevel().getName(),
-            node.value(),
-            logRecord.getLoggerName(),
-            formatMessage(logRecord),
-            thrown == null ? null : Throwables.getStackTraceAsString(thrown));
-    try {
-      return mapper.writeValueAsString(json) + '\n';
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a log record can't be written", e);
+    if (thrown != null) {
+      json.writeStringField("exception", Throwables.getStackTraceAsString(thrown));
     }
   }
-
-  /**
-   * A record as JSON.
-   *
-   * @param time when it was logged
-   * @param level its severity
-   * @param node the process's id
-   * @param logger the logger's name
-   * @param message the message
-   * @param exception the stack trace, null if there is none
-   */
-  @JsonInclude(JsonInclude.Include.NON_NULL)
-  private record JsonRecord(
-      @JsonProperty("time") String time,
-      @JsonProperty("level") String level,
-      @JsonProperty("node") String node,
-      @JsonProperty("logger") String logger,
-      @JsonProperty("message") String message,
-      @JsonProperty("exception") String exception) {}
 }
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -180,7 +180,9 @@
         sets.add(row(table, write.key(), encode(write.value()), null));
       }
     }
-    final String json = writeJson(new StoreMessages.TransactionMessage(expected, sets, removals));
+    final String json =
+        StoreMessages.tree(new StoreMessages.TransactionMessage(expected, sets, removals))
+            .toString();
     final HttpUrl url = url(StorePaths.TRANSACT).build();
     return send(new Request.Builder().url(url).post(RequestBody.create(json, JSON)).build());
   }
@@ -297,13 +299,11 @@
   }
 
   private StoreMessages.RowsMessage readRows(final Reply reply) {
-    final StoreMessages.RowsMessage message =
-        readJson(reply.body(), StoreMessages.RowsMessage.class);
-    if (message.rows() == null) {
-      return new StoreMessages.RowsMessage(
-          List.of(), false, message.version(), message.storeClockMs());
+    try {
+      return StoreMessages.rows(mapper.readTree(reply.body()));
+    } catch (JsonProcessingException e) {
+      throw new PlatformException("the platform's answer is malformed", true, e);
     }
-    return message;
   }
 
   private static Reply requireOk(final Reply reply) {
@@ -330,14 +330,6 @@
     }
   }
 
-  private String writeJson(final Object message) {
-    try {
-      return mapper.writeValueAsString(message);
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a message of our own can't be written", e);
-    }
-  }
-
   private CompletableFuture<Reply> send(final Request request) {
     return send(request, timeoutMs);
   }
--- a/src/main/java/org/bulrushweir/settings/SocketAddressSettings.java
+++ b/src/main/java/org/bulrushweir/settings/SocketAddressSettings.java
@@ -26,4 +26,9 @@
     }
     return new SocketAddressSettings(host, (int) reader.integer("port", 0, 0, MAXIMUM_PORT));
   }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
 }
