GatewayService and GatewayCore are split by job

AttemptPlanner keeps account of attempts, EngineCacheReader asks engines what they hold, PeerRegistration registers the gateway and reads where others are, GatewayServers opens the sockets.

--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -160,12 +160,12 @@
 
   @Override
   public Optional<EndpointId> next(final Set<EndpointId> excluded, final long nowMs) {
-    return core.choose(order, excluded, nowMs);
+    return core.planner().choose(order, excluded, nowMs);
   }
 
   @Override
   public boolean tryRepeat(final long nowMs) {
-    return core.tryRepeat(order.service(), nowMs);
+    return core.planner().tryRepeat(order, nowMs);
   }
 
   @Override
@@ -174,21 +174,18 @@
   }
 
   private void send(final RelayAction.Send send) {
-    final Optional<EndpointRecord> endpoint = core.find(send.endpoint());
+    final Optional<EndpointRecord> endpoint = core.planner().find(send.endpoint());
     final Attempt attempt = new Attempt(send.attempt(), send.endpoint());
     current = attempt;
-    attempt.cacheSource =
-        core.board().cacheSource(send.endpoint(), order.head().prompt(), core.nowMs());
-    attempt.placement =
-        core.board()
-            .sent(send.endpoint(), order.head().prompt(), attempt.cacheSource, core.nowMs());
+    final long nowMs = core.nowMs();
+    attempt.cacheSource = core.planner().cacheSource(order, send.endpoint(), nowMs);
+    attempt.placement = core.planner().sent(order, send.endpoint(), attempt.cacheSource, nowMs);
     attempt.pendingTokens = attempt.placement.readTokens();
     if (endpoint.isEmpty()) {
       attempt.left(AttemptOutcome.ABANDONED);
       handle(new RelayEvent.NotSent(send.attempt(), "the endpoint is gone"));
       return;
     }
-    core.placed();
     final long awaitMs = attempt.placement.awaitMs();
     if (awaitMs > 0) {
       core.loop()
@@ -310,15 +307,14 @@
         return;
       }
       answerBegun = true;
-      core.board().promptRead(endpoint, order.head().prompt(), pendingTokens, core.nowMs());
+      core.planner().promptRead(endpoint, order.head().prompt(), pendingTokens, core.nowMs());
       pendingTokens = 0;
     }
 
     private void left(final AttemptOutcome outcome) {
       over = true;
-      core.board().promptDropped(endpoint, pendingTokens);
+      core.planner().left(endpoint, pendingTokens, outcome, core.nowMs());
       pendingTokens = 0;
-      core.board().left(endpoint, outcome, core.nowMs());
     }
 
     private void abandon() {
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -10,14 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushweir.api.Clock;
-import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.ServiceName;
-import org.bulrushweir.balancing.EndpointBoard;
-import org.bulrushweir.balancing.EndpointSelector;
-import org.bulrushweir.balancing.RepeatAllowance;
 import org.bulrushweir.catalog.CallerLimits;
-import org.bulrushweir.catalog.EndpointDirectory;
-import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.PlanHolder;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
@@ -55,15 +48,11 @@
   private final Clock clock;
   private final EventLoop loop;
   private final PlanHolder plans;
-  private final EndpointDirectory directory;
-  private final EndpointBoard board;
-  private final EndpointSelector selector;
-  private final RepeatAllowance allowance;
+  private final AttemptPlanner planner;
   private final ConnectionPool pool;
   private final RequestLog log;
   private final DrainPolicy drainPolicy;
   private final StartGate gate;
-  private final PeerMesh mesh;
   private long drainingSinceMs = NOT_DRAINING;
   private int inFlight;
   private long lastConnectionMs;
@@ -74,40 +63,28 @@
    * @param clock the clock
    * @param loop the event loop
    * @param plans holds the plan in force
-   * @param directory lists the endpoints
-   * @param board what is known of the endpoints
-   * @param selector chooses endpoints
-   * @param allowance bounds repeats
+   * @param planner says where requests go
    * @param pool keeps connections to endpoints
    * @param drainPolicy decides what is still taken while stopping
    * @param gate holds requests until the store was read
-   * @param mesh tells peers where prompts were sent
    * @param log counts and logs what becomes of requests
    */
   GatewayCore(
       final Clock clock,
       final EventLoop loop,
       final PlanHolder plans,
-      final EndpointDirectory directory,
-      final EndpointBoard board,
-      final EndpointSelector selector,
-      final RepeatAllowance allowance,
+      final AttemptPlanner planner,
       final ConnectionPool pool,
       final DrainPolicy drainPolicy,
       final StartGate gate,
-      final PeerMesh mesh,
       final RequestLog log) {
     this.clock = clock;
     this.loop = loop;
     this.plans = plans;
-    this.directory = directory;
-    this.board = board;
-    this.selector = selector;
-    this.allowance = allowance;
+    this.planner = planner;
     this.pool = pool;
     this.drainPolicy = drainPolicy;
     this.gate = gate;
-    this.mesh = mesh;
     this.log = log;
   }
 
@@ -119,8 +96,8 @@
     return loop;
   }
 
-  EndpointBoard board() {
-    return board;
+  AttemptPlanner planner() {
+    return planner;
   }
 
   ConnectionPool pool() {
@@ -220,7 +197,7 @@
       return;
     }
     final ExchangeOrder order = order(plan, head.get(), route.get(), tenant);
-    allowance.requested(order.service(), clock.nowMs());
+    planner.requested(order);
     inFlight++;
     final Exchange exchange = new Exchange(this, caller, order, request, body);
     caller.exchange(exchange);
@@ -281,41 +258,10 @@
     return ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
   }
 
-  /**
-   * Chooses an endpoint for a request.
-   *
-   * @param order the request
-   * @param excluded endpoints that it has been to
-   * @param nowMs the current time
-   * @return the endpoint, empty if none takes new work
-   */
-  Optional<EndpointId> choose(
-      final ExchangeOrder order, final Set<EndpointId> excluded, final long nowMs) {
-    return selector.choose(
-        order.service(),
-        order.head().prompt(),
-        BitMixer.mix(order.head().id().hashCode()),
-        excluded,
-        nowMs);
-  }
-
-  /** Notes that a request was given to an endpoint. */
-  void placed() {
-    mesh.placed();
-  }
-
-  boolean tryRepeat(final ServiceName service, final long nowMs) {
-    return allowance.tryRepeat(service, nowMs);
-  }
-
   long retryAfterMs(final ExchangeOrder order) {
     return spreadRetryAfterMs();
   }
 
-  Optional<EndpointRecord> find(final EndpointId endpoint) {
-    return directory.find(endpoint);
-  }
-
   RequestLog log() {
     return log;
   }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -1,26 +1,15 @@
 package org.bulrushweir.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpServerCodec;
-import java.net.InetSocketAddress;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.balancing.EndpointBoard;
 import org.bulrushweir.balancing.EndpointSelector;
-import org.bulrushweir.balancing.PromptPart;
 import org.bulrushweir.balancing.RepeatAllowance;
 import org.bulrushweir.catalog.EndpointDirectory;
-import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.PlanHolder;
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
@@ -30,7 +19,6 @@
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.ChangeFeed;
-import org.bulrushweir.store.ChangePage;
 import org.bulrushweir.store.SharedTable;
 import org.bulrushweir.wire.DatagramTransport;
 
@@ -42,18 +30,9 @@
   /** How often peers get a report, in milliseconds: several within a request's time. */
   private static final long REPORT_INTERVAL_MS = 200;
 
-  /** How often registrations of gateways are read, in milliseconds; new ones report themselves. */
-  private static final long ROUTERS_INTERVAL_MS = 15_000;
-
-  /** The pause before a failed registration is tried again, in milliseconds. */
-  private static final long REGISTER_RETRY_MS = 1_000;
-
   /** How often old connections are closed, in milliseconds. */
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
-  /** The largest request for status or metrics, in bytes. */
-  private static final int MAX_STATUS_BYTES = 4_096;
-
   /** Within which the balancer notices that this process is not ready, in milliseconds. */
   private static final long BALANCER_NOTICE_MS = 2_600;
 
@@ -67,8 +46,6 @@
   private final Clock clock;
   private final CallersSocketService socket;
   private final EventLoopService loops;
-  private final ChangeFeed feed;
-  private final EngineCacheClient caches;
   private final GatewayMetrics metrics;
   private final GatewayCore core;
   private final DrainPolicy drainPolicy;
@@ -104,27 +81,16 @@
     this.clock = clock;
     this.socket = socket;
     this.loops = loops;
-    this.feed = feed;
-    this.caches = caches;
     this.metrics = metrics;
     final EventLoop loop = loops.loop();
     final PlanHolder plans = new PlanHolder();
     final EndpointDirectory directory = new EndpointDirectory();
-    final EndpointBoard board =
-        new EndpointBoard(
-            directory,
-            service ->
-                plans
-                    .inForce()
-                    .flatMap(plan -> plan.service(service))
-                    .map(ServicePlan::kvCapacityTokens)
-                    .orElse(0L),
-            settings.selector().prefillTokensPerMs());
+    final EndpointBoard board = board(settings, plans, directory);
     final StartGate gate =
         new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
-    gate.whenRead(() -> askEngines(plans, directory, board));
-    gate.whenRead(this::register);
-    gate.whenRead(this::readRouters);
+    if (!settings.firstStart()) {
+      gate.whenRead(new EngineCacheReader(caches, plans, directory, board, loop, clock)::askAll);
+    }
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RepeatAllowance allowance = new RepeatAllowance(settings.repeatBudget());
     this.pool = new ConnectionPool(loops.group(), clock);
@@ -135,15 +101,17 @@
             clock,
             loop,
             plans,
-            directory,
-            board,
-            new EndpointSelector(board, settings.zone(), settings.selector()),
-            allowance,
+            new AttemptPlanner(
+                directory,
+                board,
+                new EndpointSelector(board, settings.zone(), settings.selector()),
+                allowance,
+                mesh),
             pool,
             drainPolicy,
             gate,
-            mesh,
             new RequestLog(settings.node(), clock, plans, metrics, log));
+    gate.whenRead(new PeerRegistration(settings.node(), feed, mesh, loop)::start);
     this.endpointListener = new EndpointListener(directory, clock);
     this.followers =
         List.of(
@@ -162,38 +130,17 @@
     addGauges(plans, log);
   }
 
-  /** Asks the engines what they hold: those that sent prompts there before have been restarted. */
-  private void askEngines(
-      final PlanHolder plans, final EndpointDirectory directory, final EndpointBoard board) {
-    if (settings.firstStart()) {
-      return;
-    }
-    for (final EndpointRecord entry : directory.all()) {
-      if (plans
-          .inForce()
-          .flatMap(plan -> plan.service(entry.service()))
-          .filter(ServicePlan::engine)
-          .isEmpty()) {
-        continue;
-      }
-      caches
-          .held(entry)
-          .whenComplete(
-              (parts, failure) -> loops.loop().execute(() -> told(board, entry, parts, failure)));
-    }
-  }
-
-  private void told(
-      final EndpointBoard board,
-      final EndpointRecord engine,
-      final List<PromptPart> parts,
-      final Throwable failure) {
-    if (failure != null) {
-      logger.atInfo().log("engine %s does not say what it holds: %s", engine.id(), failure);
-      return;
-    }
-    board.holds(engine.id(), parts, clock.nowMs());
-    logger.atInfo().log("engine %s holds %d parts", engine.id(), parts.size());
+  private static EndpointBoard board(
+      final GatewaySettings settings, final PlanHolder plans, final EndpointDirectory directory) {
+    return new EndpointBoard(
+        directory,
+        service ->
+            plans
+                .inForce()
+                .flatMap(plan -> plan.service(service))
+                .map(ServicePlan::kvCapacityTokens)
+                .orElse(0L),
+        settings.selector().prefillTokensPerMs());
   }
 
   private void addGauges(final PlanHolder plans, final AsyncLogWriter log) {
@@ -227,9 +174,10 @@
 
   @Override
   public void start() {
-    callersPort = acceptCallers();
-    statusPort = bindStatus(settings.readiness());
-    bindStatus(settings.metrics());
+    final GatewayServers servers = new GatewayServers(loops.group(), core, metrics, clock);
+    callersPort = servers.acceptCallers(socket);
+    statusPort = servers.bindStatus(settings.readiness());
+    servers.bindStatus(settings.metrics());
     final SocketAddressSettings peers = settings.peers();
     mesh.bound(DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive));
     followers.forEach(TableFollower::start);
@@ -252,91 +200,6 @@
     mesh.report(false);
   }
 
-  private int bindStatus(final SocketAddressSettings address) {
-    final StatusHandler handler = new StatusHandler(core, metrics);
-    return bind(
-        address,
-        new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(final Channel channel) {
-            channel
-                .pipeline()
-                .addLast(
-                    new HttpServerCodec(), new HttpObjectAggregator(MAX_STATUS_BYTES), handler);
-          }
-        });
-  }
-
-  /** Begins to accept callers on the socket that has been open since the start. */
-  private int acceptCallers() {
-    new ServerBootstrap()
-        .group(loops.group())
-        .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(final Channel channel) {
-                final HeadTimeDecoder headTime = new HeadTimeDecoder(clock);
-                channel
-                    .pipeline()
-                    .addLast(
-                        headTime.before(),
-                        new CallerRequestDecoder(core.limits().maxHeaderBytes()),
-                        headTime.after(),
-                        new HttpResponseEncoder(),
-                        new CallerHandler(core, headTime));
-              }
-            })
-        .register()
-        .syncUninterruptibly();
-    return socket.channel().socket().getLocalPort();
-  }
-
-  private int bind(
-      final SocketAddressSettings address, final ChannelInitializer<Channel> initializer) {
-    final Channel channel =
-        new ServerBootstrap()
-            .group(loops.group())
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer)
-            .bind(address.host(), address.port())
-            .syncUninterruptibly()
-            .channel();
-    return ((InetSocketAddress) channel.localAddress()).getPort();
-  }
-
-  private void register() {
-    feed.put(SharedTable.ROUTERS, settings.node().value(), mesh.registration())
-        .whenComplete((done, failure) -> loops.loop().execute(() -> registered(failure)));
-  }
-
-  private void registered(final Throwable failure) {
-    if (failure == null) {
-      logger.atInfo().log("registered as %s", mesh.registration());
-      return;
-    }
-    logger.atFine().log("could not register: %s", failure.getMessage());
-    loops.loop().schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
-  }
-
-  private void readRouters() {
-    feed.snapshot(SharedTable.ROUTERS)
-        .whenComplete((page, failure) -> loops.loop().execute(() -> routersRead(page, failure)));
-  }
-
-  private void routersRead(final ChangePage page, final Throwable failure) {
-    if (failure != null) {
-      logger.atFine().log("the registrations can't be read: %s", failure.getMessage());
-      loops.loop().schedule(this::readRouters, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    mesh.registered(page.rows());
-    loops.loop().schedule(this::readRouters, ROUTERS_INTERVAL_MS, TimeUnit.MILLISECONDS);
-  }
-
   /** Takes no new work, finishes what is in flight and then returns. */
   @Override
   public void stop() {
