An attempt that was given up while it connected is taken off once

Cause, found on reading: if a caller left, or a request went elsewhere, while a connection was being opened and that connection then failed, the attempt was taken off its endpoint's load twice. Loads went below what was there, so routers sent more to endpoints that could not be reached, and peers heard wrong loads.

--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
@@ -0,0 +1,137 @@
+package org.bulrushweir.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.balancing.EndpointBoard;
+import org.bulrushweir.balancing.EndpointSelector;
+import org.bulrushweir.balancing.RepeatAllowance;
+import org.bulrushweir.balancing.RepeatBudget;
+import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.catalog.PlanHolder;
+import org.bulrushweir.catalog.RequestKind;
+import org.bulrushweir.catalog.Route;
+import org.bulrushweir.catalog.WeightedService;
+import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.relay.AttemptId;
+import org.bulrushweir.relay.DrainPolicy;
+import org.bulrushweir.relay.EventCutter;
+import org.bulrushweir.relay.RelayEvent;
+import org.bulrushweir.relay.RelayLimits;
+import org.bulrushweir.relay.RequestHead;
+import org.bulrushweir.settings.SocketAddressSettings;
+import org.bulrushweir.store.SharedTable;
+import org.junit.jupiter.api.Test;
+
+/** Tests the account that is kept of attempts. */
+class ExchangeAttemptTest {
+
+  private static final ServiceName ORDERS = new ServiceName("orders");
+  private static final EndpointId ENDPOINT = new EndpointId("orders-1");
+  private static final ZoneName ZONE = new ZoneName("zone-1");
+
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private final EndpointBoard board = new EndpointBoard(directory, service -> 0, 1);
+  private final List<RelayEvent> events = new ArrayList<>();
+
+  private GatewayCore core() {
+    final Clock clock = () -> 0;
+    final NodeId node = new NodeId("gateway-1");
+    final PlanHolder plans = new PlanHolder();
+    final RepeatAllowance allowance = new RepeatAllowance(new RepeatBudget(0.1, 10, 10_000));
+    final PeerMesh mesh =
+        new PeerMesh(
+            node, new SocketAddressSettings("127.0.0.1", 0), clock, board, plans, allowance, null);
+    final EndpointSelector selector = new EndpointSelector(board, ZONE, new SelectorSettings(2, 1));
+    final AsyncLogWriter log =
+        new AsyncLogWriter(new PrintStream(OutputStream.nullOutputStream()), 10);
+    return new GatewayCore(
+        clock,
+        null,
+        plans,
+        new AttemptPlanner(directory, board, selector, allowance, mesh),
+        null,
+        new DrainPolicy(1_000),
+        new StartGate(EnumSet.noneOf(SharedTable.class)),
+        new RequestLog(node, clock, plans, new GatewayMetrics(), log));
+  }
+
+  private static ExchangeOrder order() {
+    final Route route =
+        new Route(
+            "book",
+            "orders.example",
+            "/book/",
+            RequestKind.UNSAFE,
+            1_000,
+            100,
+            0,
+            List.of(new WeightedService(ORDERS, 1)),
+            1,
+            true,
+            false,
+            false);
+    final RequestHead head =
+        new RequestHead(
+            "request-1",
+            "orders.example",
+            "/book/1",
+            OptionalLong.empty(),
+            Optional.empty(),
+            List.of(),
+            OptionalLong.empty(),
+            OptionalLong.empty());
+    final RelayLimits limits = new RelayLimits(false, false, 1, 1_000, 400, 400);
+    return new ExchangeOrder(head, route, ORDERS, Optional.empty(), 0, limits, 0, 1);
+  }
+
+  private AttemptOwner owner() {
+    return new AttemptOwner() {
+      @Override
+      public void handle(final RelayEvent event) {
+        events.add(event);
+      }
+
+      @Override
+      public void send(final ExchangeAttempt attempt, final EndpointConnection connection) {
+        throw new IllegalStateException("nothing is sent here");
+      }
+
+      @Override
+      public boolean hasBegun() {
+        return false;
+      }
+
+      @Override
+      public boolean callerLeft() {
+        return true;
+      }
+    };
+  }
+
+  @Test
+  void attemptGivenUpWhileItConnectsIsTakenOffOnceIfNoConnectionComes() {
+    directory.put(new EndpointRecord(ENDPOINT, ORDERS, "127.0.0.1", 9, ZONE, 6, false, 0));
+    final ExchangeAttempt attempt =
+        new ExchangeAttempt(
+            core(), order(), null, new EventCutter(-1), owner(), new AttemptId(1), ENDPOINT);
+    assertEquals(1, board.inFlight(ENDPOINT, 0));
+    attempt.abandon();
+    attempt.notConnected("the connection timed out");
+    assertEquals(0, board.inFlight(ENDPOINT, 0));
+    assertEquals(List.of(), events);
+  }
+}
