--- a/src/main/java/org/bulrushweir/gateway/FeedTimes.java
+++ b/src/main/java/org/bulrushweir/gateway/FeedTimes.java
@@ -10,6 +10,12 @@
   /** How long the store waits for a change before it answers, in milliseconds. */
   static final long WAIT_MS = 1_400;
 
+  /**
+   * The pause after changes before more are asked for, in milliseconds, so that those that come in
+   * quick succession cost one call: a small part of the time within which changes are in force.
+   */
+  static final long BATCH_MS = 150;
+
   /** The pause before the first new try, in milliseconds. */
   static final long FIRST_RETRY_MS = 100;
 
--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -87,7 +87,11 @@
     }
     known = true;
     version = Math.max(version, page.version());
-    poll();
+    if (page.rows().isEmpty()) {
+      poll();
+      return;
+    }
+    loop.schedule(this::poll, FeedTimes.BATCH_MS, TimeUnit.MILLISECONDS);
   }
 
   private void failed(final Throwable failure) {
