The bound on an engine's load keeps a reserve for loads that are told too late

From 0.8 s on one of three gateways was slow. What a slow gateway still reports has ended at the engines, and requests that wait for parts being read have not reached them: the mean is told too high, and the bound with it.

Change: 0.85 of the bound is used. EndpointSelectorTest plays a third router with ended requests: the hottest engine got 22 of at most 21 before, and stays below now.

--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -36,8 +36,16 @@
   /** What a way to another availability zone counts, in milliseconds: a round trip. */
   private static final double OTHER_ZONE_MS = 3;
 
-  /** Room below the bound on the load, in requests, for what peers have sent since they told. */
-  private static final double BOUND_MARGIN = 1;
+  /**
+   * What is added to the bound on the load, in requests, so that few requests may share an engine.
+   */
+  private static final double BOUND_EXTRA = 1;
+
+  /**
+   * Which share of the bound on the load is used: the mean that it is computed from counts requests
+   * that have ended where a slow router has not noticed, or that have not been sent yet.
+   */
+  private static final double BOUND_SHARE = 0.85;
 
   private final EndpointBoard board;
   private final ZoneName zone;
@@ -148,7 +156,8 @@
     for (final EndpointState state : candidates) {
       sum += state.inFlight(nowMs);
     }
-    return settings.loadMultiple() * sum / Math.max(1, candidates.size()) + BOUND_MARGIN;
+    final double mean = sum / Math.max(1, candidates.size());
+    return BOUND_SHARE * settings.loadMultiple() * mean + BOUND_EXTRA;
   }
 
   /** Finds the engine that the first part of a prompt belongs to. */
--- a/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
@@ -81,6 +81,35 @@
     }
   }
 
+  /**
+   * Load: one chat gets most of the traffic while one of three routers is so slow that it goes on
+   * reporting requests that have ended.
+   */
+  @Test
+  void endedRequestsOfSlowRouterDoNotRaiseTheBoundTooFar() {
+    final SimulatedRouters routers = new SimulatedRouters(3, ENDPOINTS);
+    for (final EndpointId endpoint : ids(routers)) {
+      for (int ended = 0; ended < 3; ended++) {
+        routers.boards.getLast().sent(endpoint, List.of(), Optional.empty(), 0);
+      }
+    }
+    routers.exchange(0);
+    final Map<EndpointId, Integer> real = new HashMap<>();
+    final int requests = 9 * ENDPOINTS;
+    for (int number = 0; number < requests; number++) {
+      final int router = number % 2;
+      final List<PromptPart> prompt = prompt(1, 1, number);
+      final EndpointId chosen = routers.choose(router, prompt, number).orElseThrow();
+      final long pending =
+          routers.boards.get(router).sent(chosen, prompt, Optional.empty(), 0).readTokens();
+      routers.boards.get(router).promptRead(chosen, prompt, pending, 0);
+      real.merge(chosen, 1, Integer::sum);
+      routers.exchange(0);
+    }
+    final double mean = (double) requests / ENDPOINTS;
+    real.forEach((endpoint, load) -> assertTrue(load <= 2 * mean + 3, endpoint + " has " + load));
+  }
+
   private static List<EndpointId> ids(final SimulatedRouters routers) {
     return routers.directory.all().stream().map(entry -> entry.id()).toList();
   }
