--- a/src/test/java/org/bulrushweir/process/ReplacedEndpointProcessTest.java
+++ b/src/test/java/org/bulrushweir/process/ReplacedEndpointProcessTest.java
@@ -17,6 +17,9 @@
 /** Proves with real processes what callers are told when an endpoint's sidecar is replaced. */
 class ReplacedEndpointProcessTest {
 
+  /** The status with which the service answers a booking. */
+  private static final int BOOKED_STATUS = 201;
+
   @TempDir private Path directory;
   private Fleet fleet;
 
@@ -52,10 +55,21 @@
     fleet.process("orders-1").kill();
     fleet.startSidecar("orders-1", "orders", fleet.httpPort("orders-1-service"), "");
     assertUnknown(first.join());
+    awaitNewSidecarKnown();
     assertUnknown(book());
     assertEquals(1, runs("killed"));
   }
 
+  /**
+   * Waits until the router has read where the new sidecar is. Until then a request is refused as
+   * not run, which is true of that request: it reaches nobody.
+   */
+  private void awaitNewSidecarKnown() throws Exception {
+    Waiting.until(
+        () ->
+            fleet.send(fleet.booking("router-1", "probe", "probe")).statusCode() == BOOKED_STATUS);
+  }
+
   private HttpResponse<String> book() {
     try {
       return fleet.send(fleet.booking("router-1", "killed", "killed"));
@@ -64,7 +78,9 @@
     }
   }
 
-  private static void assertUnknown(final HttpResponse<String> response) {
-    assertTrue(response.body().contains("\"run_state\":\"unknown\""), response::body);
+  private void assertUnknown(final HttpResponse<String> response) {
+    assertTrue(
+        response.body().contains("\"run_state\":\"unknown\""),
+        () -> response.body() + "\nlog of the router:\n" + fleet.process("router-1").logText());
   }
 }
