One piece of code where the gateway's code said the same twice

Found on reading the whole change once more; behaviour stays as it is, tests keep their assertions.

- The mean of requests in flight was computed by a loop in EndpointSelector and by a stream in EndpointBoard: one EndpointBoard.meanInFlight.
The length of a prompt likewise: PromptPart.tokens.
- EndpointBoard.promptDropped was only ever called together with left: left takes the tokens that were still to be read.
- Four JSON mappers were created at a gateway's start, one in each class of the adapter: one serves all.
- HttpPlatformStore set a time-out of calls on its client that each call replaced at once: removed.
- GatewayModule and NodeModule provided the same clock and kernel: KernelModule.
- A parameter that nothing read (GatewayCore.retryAfterMs).

--- a/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointBoard.java
@@ -193,7 +193,7 @@
     if (state == null) {
       return new PlacementFacts(0, 0, 0, 0, 0, Optional.empty(), 0);
     }
-    final long total = prompt.stream().mapToLong(PromptPart::tokens).sum();
+    final long total = PromptPart.tokens(prompt);
     final int cached = state.prefixes().cachedTokens(prompt);
     final int atSource =
         source
@@ -202,7 +202,7 @@
     final PlacementFacts facts =
         new PlacementFacts(
             state.inFlight(nowMs),
-            meanInFlight(state.entry().service(), nowMs),
+            meanInFlight(candidates(state.entry().service()), nowMs),
             total,
             cached,
             Math.max(0, atSource - cached),
@@ -240,11 +240,19 @@
     return coldTokens >= MIN_URGENT_TOKENS;
   }
 
-  private double meanInFlight(final ServiceName service, final long nowMs) {
-    return candidates(service).stream()
-        .mapToInt(state -> state.inFlight(nowMs))
-        .average()
-        .orElse(0);
+  /**
+   * Returns how many requests endpoints have on average.
+   *
+   * @param endpoints the endpoints
+   * @param nowMs the current time
+   * @return the mean, zero if there are none
+   */
+  static double meanInFlight(final List<EndpointState> endpoints, final long nowMs) {
+    double sum = 0;
+    for (final EndpointState state : endpoints) {
+      sum += state.inFlight(nowMs);
+    }
+    return sum / Math.max(1, endpoints.size());
   }
 
   /**
@@ -267,32 +275,24 @@
     }
   }
 
-  /**
-   * Notes that a request has left an endpoint before the endpoint began to answer.
-   *
-   * @param endpoint the endpoint
-   * @param pendingTokens how many tokens it had to read for the request
-   */
-  public void promptDropped(final EndpointId endpoint, final long pendingTokens) {
-    final EndpointState state = states.get(endpoint);
-    if (state != null) {
-      state.add(0, -pendingTokens);
-    }
-  }
-
   /**
    * Notes that a request has left an endpoint.
    *
    * @param endpoint the endpoint
+   * @param pendingTokens how many tokens it still had to read for the request
    * @param outcome what became of it
    * @param nowMs the current time
    */
-  public void left(final EndpointId endpoint, final AttemptOutcome outcome, final long nowMs) {
+  public void left(
+      final EndpointId endpoint,
+      final long pendingTokens,
+      final AttemptOutcome outcome,
+      final long nowMs) {
     final EndpointState state = states.get(endpoint);
     if (state == null) {
       return;
     }
-    state.add(-1, 0);
+    state.add(-1, -pendingTokens);
     if (outcome == AttemptOutcome.ANSWERED) {
       state.health().succeeded();
     } else if (outcome == AttemptOutcome.FAILED) {
@@ -371,7 +371,7 @@
   }
 
   /**
-   * Describes an endpoint's load, for logs.
+   * Returns an endpoint's load.
    *
    * @param endpoint the endpoint
    * @param nowMs the current time
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -135,8 +135,8 @@
       final EndpointState home,
       final int held,
       final long nowMs) {
-    final int total = tokens(prompt);
-    final int shared = total - prompt.getLast().tokens();
+    final long total = PromptPart.tokens(prompt);
+    final long shared = total - prompt.getLast().tokens();
     final int cached = state.prefixes().cachedTokens(prompt);
     final int fetched = Math.max(0, held - cached);
     double missed = total - cached - fetched;
@@ -152,11 +152,7 @@
 
   /** Returns how many requests an endpoint may have before others are preferred. */
   private double bound(final List<EndpointState> candidates, final long nowMs) {
-    double sum = 0;
-    for (final EndpointState state : candidates) {
-      sum += state.inFlight(nowMs);
-    }
-    final double mean = sum / Math.max(1, candidates.size());
+    final double mean = EndpointBoard.meanInFlight(candidates, nowMs);
     return BOUND_SHARE * settings.loadMultiple() * mean + BOUND_EXTRA;
   }
 
@@ -176,14 +172,6 @@
     return home;
   }
 
-  private static int tokens(final List<PromptPart> prompt) {
-    int sum = 0;
-    for (final PromptPart part : prompt) {
-      sum += part.tokens();
-    }
-    return sum;
-  }
-
   private static double fraction(final long value) {
     return (double) (BitMixer.mix(value) >>> 1) / Long.MAX_VALUE;
   }
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -156,7 +156,6 @@
       final long pendingTokens,
       final AttemptOutcome outcome,
       final long nowMs) {
-    board.promptDropped(endpoint, pendingTokens);
-    board.left(endpoint, outcome, nowMs);
+    board.left(endpoint, pendingTokens, outcome, nowMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -163,7 +163,7 @@
 
   @Override
   public long retryAfterMs() {
-    return core.retryAfterMs(order);
+    return core.retryAfterMs();
   }
 
   private void send(final RelayAction.Send send) {
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -258,7 +258,7 @@
     return ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
   }
 
-  long retryAfterMs(final ExchangeOrder order) {
+  long retryAfterMs() {
     return spreadRetryAfterMs();
   }
 
--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -1,7 +1,6 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.util.Optional;
@@ -18,8 +17,6 @@
   private static final String READY = "ready";
   private static final String DRAINING = "draining";
 
-  private final ObjectMapper mapper = new ObjectMapper();
-
   /**
    * Decodes a registration.
    *
@@ -32,7 +29,7 @@
       final String key, final String text, final FindingCollector findings) {
     final JsonReader reader;
     try {
-      reader = new JsonReader("endpoint " + key, mapper.readTree(text), findings);
+      reader = new JsonReader("endpoint " + key, JsonReader.MAPPER.readTree(text), findings);
     } catch (JsonProcessingException e) {
       findings.add(new Finding("endpoint " + key, 0, 0, "is not JSON"));
       return Optional.empty();
--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -27,7 +26,6 @@
   private static final int TOKENS_INDEX = 2;
   private static final int HEX_RADIX = 16;
 
-  private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient client;
 
   /**
@@ -101,7 +99,7 @@
    */
   List<PromptPart> parse(final String text) throws JsonProcessingException {
     final List<PromptPart> parts = new ArrayList<>();
-    for (final JsonNode entry : mapper.readTree(text).path(HELD)) {
+    for (final JsonNode entry : JsonReader.MAPPER.readTree(text).path(HELD)) {
       try {
         parts.add(
             new PromptPart(
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -1,11 +1,9 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -48,7 +46,6 @@
   private static final int STATUS_TOO_MANY = 429;
   private static final int STATUS_UNAVAILABLE = 503;
 
-  private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient client;
   private final HttpUrl base;
   private final long timeoutMs;
@@ -61,12 +58,7 @@
    * @param timeoutMs how long a call may take, in milliseconds, besides what it is asked to wait
    */
   public HttpPlatformStore(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
-    this.client =
-        client
-            .newBuilder()
-            .retryOnConnectionFailure(false)
-            .callTimeout(Duration.ofMillis(timeoutMs))
-            .build();
+    this.client = client.newBuilder().retryOnConnectionFailure(false).build();
     this.base = base;
     this.timeoutMs = timeoutMs;
   }
@@ -300,7 +292,7 @@
 
   private StoreMessages.RowsMessage readRows(final Reply reply) {
     try {
-      return StoreMessages.rows(mapper.readTree(reply.body()));
+      return StoreMessages.rows(JsonReader.MAPPER.readTree(reply.body()));
     } catch (JsonProcessingException e) {
       throw new PlatformException("the platform's answer is malformed", true, e);
     }
@@ -324,7 +316,7 @@
 
   private <T> T readJson(final String json, final Class<T> type) {
     try {
-      return mapper.readValue(json, type);
+      return JsonReader.MAPPER.readValue(json, type);
     } catch (JsonProcessingException e) {
       throw new PlatformException("the platform's answer is malformed", true, e);
     }
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Optional;
 import java.util.function.Function;
 import org.bulrushweir.api.Finding;
@@ -9,6 +10,11 @@
 /** Reads the fields of a JSON object; what is missing or of another type becomes a finding. */
 final class JsonReader {
 
+  /**
+   * Reads texts into trees; one for all of the adapter, since each takes a starting process long.
+   */
+  static final ObjectMapper MAPPER = new ObjectMapper();
+
   private final String place;
   private final JsonNode node;
   private final FindingCollector findings;
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -1,7 +1,6 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -33,8 +32,6 @@
   /** The target of a route that names none, in milliseconds. */
   private static final long DEFAULT_TARGET_MS = 1_000;
 
-  private final ObjectMapper mapper = new ObjectMapper();
-
   /**
    * Decodes a configuration.
    *
@@ -45,7 +42,7 @@
   public Optional<RoutingPlan> decode(final String text, final FindingCollector findings) {
     final JsonReader root;
     try {
-      root = new JsonReader("configuration", mapper.readTree(text), findings);
+      root = new JsonReader("configuration", JsonReader.MAPPER.readTree(text), findings);
     } catch (JsonProcessingException e) {
       findings.add(new Finding("configuration", 0, 0, "is not JSON: " + e.getOriginalMessage()));
       return Optional.empty();
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -4,45 +4,30 @@
 import dagger.Provides;
 import dagger.multibindings.IntoMap;
 import dagger.multibindings.StringKey;
-import java.util.Map;
 import javax.inject.Singleton;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.gateway.CallersSocketService;
 import org.bulrushweir.gateway.EventLoopService;
 import org.bulrushweir.gateway.GatewayMetrics;
 import org.bulrushweir.gateway.GatewayService;
-import org.bulrushweir.kernel.Kernel;
 import org.bulrushweir.kernel.ServiceFactory;
-import org.bulrushweir.kernel.SystemClock;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.node.PlatformService;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.settings.GatewaySettings;
 
 /** Provides the services of a gateway. */
-@Module
+@Module(includes = KernelModule.class)
 final class GatewayModule {
 
   private GatewayModule() {}
 
-  @Provides
-  @Singleton
-  static Clock clock() {
-    return new SystemClock();
-  }
-
   @Provides
   @Singleton
   static GatewayMetrics metrics() {
     return new GatewayMetrics();
   }
 
-  @Provides
-  @Singleton
-  static Kernel kernel(final Map<String, ServiceFactory> factories) {
-    return new Kernel(factories);
-  }
-
   @Provides
   @IntoMap
   @StringKey(ServiceNames.PLATFORM)
--- a/src/main/java/org/bulrushweir/process/NodeModule.java
+++ b/src/main/java/org/bulrushweir/process/NodeModule.java
@@ -4,14 +4,11 @@
 import dagger.Provides;
 import dagger.multibindings.IntoMap;
 import dagger.multibindings.StringKey;
-import java.util.Map;
 import java.util.SplittableRandom;
 import javax.inject.Singleton;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.Incarnation;
-import org.bulrushweir.kernel.Kernel;
 import org.bulrushweir.kernel.ServiceFactory;
-import org.bulrushweir.kernel.SystemClock;
 import org.bulrushweir.metrics.FleetMetrics;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.node.FleetService;
@@ -25,17 +22,11 @@
 import org.bulrushweir.wire.PeerIdentity;
 
 /** Provides what routers and sidecars have in common. */
-@Module
+@Module(includes = KernelModule.class)
 final class NodeModule {
 
   private NodeModule() {}
 
-  @Provides
-  @Singleton
-  static Clock clock() {
-    return new SystemClock();
-  }
-
   @Provides
   @Singleton
   static PeerIdentity self(final ProcessSettings settings, final Clock clock) {
@@ -54,12 +45,6 @@
     return new FleetMetrics();
   }
 
-  @Provides
-  @Singleton
-  static Kernel kernel(final Map<String, ServiceFactory> factories) {
-    return new Kernel(factories);
-  }
-
   @Provides
   @IntoMap
   @StringKey(ServiceNames.PLATFORM)
--- a/src/test/java/org/bulrushweir/balancing/EndpointBoardTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointBoardTest.java
@@ -59,7 +59,7 @@
     final List<PromptPart> prompt = List.of(new PromptPart(1, 100), new PromptPart(2, 10));
     board.sent(E1, prompt, Optional.empty(), 0);
     board.promptRead(E1, prompt, 110, 0);
-    board.left(E1, AttemptOutcome.ANSWERED, 0);
+    board.left(E1, 0, AttemptOutcome.ANSWERED, 0);
     assertEquals(0, board.inFlight(E1, 0));
     assertEquals(Map.of(), board.ownLoads());
   }
--- a/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
@@ -49,7 +49,7 @@
       homesOfFirst.computeIfAbsent(second % 4, key -> new HashSet<>()).add(chosen);
       seen.add(second);
       routers.boards.get(router).promptRead(chosen, prompt, pending, 0);
-      routers.boards.get(router).left(chosen, AttemptOutcome.ANSWERED, 0);
+      routers.boards.get(router).left(chosen, 0, AttemptOutcome.ANSWERED, 0);
       if (number % 3 == 0) {
         routers.exchange(0);
       }
@@ -159,7 +159,10 @@
       board.sent(chosen, List.of(), Optional.empty(), 0);
       toFailing += chosen.equals(failing) ? 1 : 0;
       board.left(
-          chosen, chosen.equals(failing) ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED, nowMs);
+          chosen,
+          0,
+          chosen.equals(failing) ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED,
+          nowMs);
     }
     assertTrue(toFailing >= 4 && toFailing <= 15, "requests to the failing endpoint: " + toFailing);
   }
