--- a/src/test/java/org/bulrushweir/membership/ConfigSpreadTest.java
+++ b/src/test/java/org/bulrushweir/membership/ConfigSpreadTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -11,6 +13,7 @@
  * Verifies that gossip alone, without the platform, brings a configuration into force in all
  * processes within a time limit.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class ConfigSpreadTest {
 
   private static final long SEED = 5;
--- a/src/test/java/org/bulrushweir/membership/GossipBudgetTest.java
+++ b/src/test/java/org/bulrushweir/membership/GossipBudgetTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -11,6 +13,7 @@
  * Verifies that gossip stays within its byte budget and that the leaving state of an endpoint
  * reaches all processes in time.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class GossipBudgetTest {
 
   private static final long SEED = 99;
--- a/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
+++ b/src/test/java/org/bulrushweir/replay/ReplayTargetTest.java
@@ -14,10 +14,13 @@
 import org.bulrushweir.trace.TraceGenerator;
 import org.bulrushweir.trace.TraceProfile;
 import org.bulrushweir.trace.TraceRecord;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Holds the fleet's decisions to the targets of the brief's measures. */
+@Execution(ExecutionMode.CONCURRENT)
 class ReplayTargetTest {
 
   private static final double REUSE_TARGET = 0.95;
