No more than a quarter of a service's endpoints are ejected for failed requests

Cause: each gateway ejects an endpoint after three failures in a row or a failure share of a half.

Change: EjectionPolicy ignores failures while more than a quarter of the candidates (one at least) are ejected for them; endpoints to which no connection can be opened are avoided however many. An engine that only fails requests still is a source of cache transfers.

The change stays for what the test shows.

--- a/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
@@ -32,9 +32,11 @@
   private long ejectionMs = BASE_EJECTION_MS;
   private long ejectedUntilMs = Long.MIN_VALUE;
   private boolean probing;
+  private boolean unreachable;
 
   /** Records an attempt that succeeded. */
   void recordSuccess() {
+    unreachable = false;
     failureShare -= NEWEST_OUTCOME_WEIGHT * failureShare;
     consecutiveFailures = 0;
     if (probing) {
@@ -52,6 +54,7 @@
    * @param nowMs the current time, in Unix milliseconds
    */
   void recordFailure(final long nowMs) {
+    unreachable = false;
     failureShare += NEWEST_OUTCOME_WEIGHT * (1 - failureShare);
     consecutiveFailures++;
     if (probing
@@ -67,6 +70,7 @@
    * @param nowMs the current time, in Unix milliseconds
    */
   void recordUnreachable(final long nowMs) {
+    unreachable = true;
     eject(nowMs);
   }
 
@@ -90,4 +94,16 @@
   boolean isSuspect(final int inFlight, final long nowMs) {
     return nowMs < ejectedUntilMs || probing && inFlight > 0;
   }
+
+  /**
+   * Returns whether an ejected endpoint could not be connected to when it was last tried. It has
+   * most likely ended, while one that only fails requests still has its caches.
+   *
+   * @param inFlight the number of in-flight attempts of this gateway at the endpoint
+   * @param nowMs the current time, in Unix milliseconds
+   * @return true if the endpoint is suspect and no connection to it could be opened
+   */
+  boolean isUnreachable(final int inFlight, final long nowMs) {
+    return unreachable && isSuspect(inFlight, nowMs);
+  }
 }
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -91,11 +91,12 @@
       final Set<EndpointId> excluded,
       final long nowMs) {
     final List<EndpointState> candidates = tracker.candidates(service);
+    final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
     if (prompt.isEmpty()) {
-      return best(candidates, excluded, state -> callCost(state, draw, nowMs), nowMs);
+      return best(candidates, excluded, state -> callCost(state, draw, nowMs), ejection);
     }
     final double bound = bound(candidates, nowMs);
-    final EndpointState hashOwner = hashOwner(candidates, prompt, nowMs);
+    final EndpointState hashOwner = hashOwner(candidates, prompt, ejection);
     final int maxCached = tracker.maxPrefilledTokens(service, prompt, nowMs);
     return best(
         candidates,
@@ -104,32 +105,32 @@
             state.inFlight(nowMs) >= bound
                 ? bound + state.inFlight(nowMs) * settings.overBoundMs()
                 : promptCost(state, prompt, hashOwner, maxCached, nowMs),
-        nowMs);
+        ejection);
   }
 
   /**
-   * Returns the candidate with the lowest cost. A suspect candidate is returned only if no other
+   * Returns the candidate with the lowest cost. An ejected candidate is returned only if no other
    * one is left.
    */
   private static Optional<EndpointId> best(
       final List<EndpointState> candidates,
       final Set<EndpointId> excluded,
       final ToDoubleFunction<EndpointState> cost,
-      final long nowMs) {
+      final EjectionPolicy ejection) {
     EndpointState best = null;
     double bestCost = 0;
-    boolean bestSuspect = true;
+    boolean bestEjected = true;
     for (final EndpointState state : candidates) {
       if (excluded.contains(state.entry().id())) {
         continue;
       }
-      final boolean suspect = state.isSuspect(nowMs);
+      final boolean ejected = ejection.avoids(state);
       final double stateCost = cost.applyAsDouble(state);
-      final boolean better = suspect == bestSuspect ? stateCost < bestCost : bestSuspect;
+      final boolean better = ejected == bestEjected ? stateCost < bestCost : bestEjected;
       if (best == null || better) {
         best = state;
         bestCost = stateCost;
-        bestSuspect = suspect;
+        bestEjected = ejected;
       }
     }
     return Optional.ofNullable(best).map(state -> state.entry().id());
@@ -172,16 +173,18 @@
 
   /**
    * Returns the engine that rendezvous hashing assigns to the first segment of a prompt, null if
-   * all candidates are suspect.
+   * all candidates are ejected.
    */
   private static EndpointState hashOwner(
-      final List<EndpointState> candidates, final List<PromptSegment> prompt, final long nowMs) {
+      final List<EndpointState> candidates,
+      final List<PromptSegment> prompt,
+      final EjectionPolicy ejection) {
     final long firstSegment = prompt.getFirst().id();
     EndpointState hashOwner = null;
     long highestScore = 0;
     for (final EndpointState state : candidates) {
       final long score = BitMixer.mix(firstSegment ^ state.key());
-      if (!state.isSuspect(nowMs) && (hashOwner == null || score > highestScore)) {
+      if (!ejection.avoids(state) && (hashOwner == null || score > highestScore)) {
         hashOwner = state;
         highestScore = score;
       }
--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -123,6 +123,10 @@
     return health.isSuspect(inFlight, nowMs);
   }
 
+  boolean isUnreachable(final long nowMs) {
+    return health.isUnreachable(inFlight, nowMs);
+  }
+
   /**
    * The load of a peer and the time of its report.
    *
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -182,7 +182,7 @@
     for (final EndpointRecord entry : directory.endpoints(target.entry().service())) {
       final EndpointState state = states.get(entry.id());
       final int cached = state.prefixCache().prefilledTokens(prompt, nowMs);
-      if (state != target && cached > most && !state.isSuspect(nowMs)) {
+      if (state != target && cached > most && !state.isUnreachable(nowMs)) {
         most = cached;
         source = entry;
       }
