An endpoint that starts again under its id holds nothing of before

Cause, found on reading: the state of a restarted endpoint kept its load, its failures and peers' loads, only the cache was cleared; attempts of the run that had ended counted against the new one when they broke. A registration whose start was missing or no whole number was used, and one of an earlier run, written late, replaced the newer one or brought back an endpoint that had left.

Change: the start of the process tells the runs of an endpoint apart. A new run gets a new state, the end of an attempt counts only for the run it was sent to, registrations without a whole number as start name no endpoint, and those of an earlier run are ignored, also after the endpoint has left (the last start of 4,096 removed endpoints is remembered).

--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -36,17 +36,18 @@
   }
 
   /**
-   * Replaces the registration. A restarted endpoint has lost its prefix cache.
+   * Replaces the registration by one of the same run of the endpoint.
    *
    * @param newer the new registration
    */
   void update(final EndpointRecord newer) {
-    if (newer.startedAtMs() != entry.startedAtMs()) {
-      prefixCache.clear();
-    }
     entry = newer;
   }
 
+  boolean isOfRun(final long startedAtMs) {
+    return entry.startedAtMs() == startedAtMs;
+  }
+
   EndpointRecord entry() {
     return entry;
   }
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -107,7 +107,7 @@
     for (final EndpointRecord entry : directory.all()) {
       listed.add(entry.id());
       final EndpointState existing = states.get(entry.id());
-      if (existing == null) {
+      if (existing == null || !existing.isOfRun(entry.startedAtMs())) {
         states.put(entry.id(), new EndpointState(entry, prefixCacheTokens(entry.service())));
       } else {
         existing.update(entry);
@@ -208,7 +208,7 @@
     refresh();
     final EndpointState state = states.get(endpoint);
     if (state == null) {
-      return new PlacementSnapshot(0, 0, 0, 0, 0, Optional.empty(), 0);
+      return new PlacementSnapshot(0, 0, 0, 0, 0, Optional.empty(), 0, 0);
     }
     final long total = PromptSegment.tokens(prompt);
     final int cached = state.prefixCache().cachedTokens(prompt);
@@ -224,6 +224,7 @@
             cached,
             Math.max(0, tokensAtSource - cached),
             source.map(EndpointRecord::id),
+            state.entry().startedAtMs(),
             awaitMs(state, prompt, nowMs));
     state.adjustLoad(1, snapshot.prefillTokens());
     if (!prompt.isEmpty()) {
@@ -278,20 +279,30 @@
     return sum / Math.max(1, endpoints.size());
   }
 
+  /** Returns the state of a run of an endpoint, null if that run has ended or is not registered. */
+  private EndpointState stateOfRun(final EndpointId endpoint, final long startedAtMs) {
+    refresh();
+    final EndpointState state = states.get(endpoint);
+    return state == null || !state.isOfRun(startedAtMs) ? null : state;
+  }
+
   /**
-   * Records that an endpoint has finished the prefill of a prompt and started to respond.
+   * Records that an endpoint has finished the prefill of a prompt and started to respond. Without
+   * effect if the endpoint has restarted since the attempt was recorded.
    *
    * @param endpoint the endpoint
+   * @param startedAtMs the start of the endpoint's process when the attempt was recorded
    * @param prompt the segments of the prompt in order
    * @param pendingTokens the number of tokens that were still counted as pending for the request
    * @param nowMs the current time, in Unix milliseconds
    */
   public void recordPrefillEnd(
       final EndpointId endpoint,
+      final long startedAtMs,
       final List<PromptSegment> prompt,
       final long pendingTokens,
       final long nowMs) {
-    final EndpointState state = states.get(endpoint);
+    final EndpointState state = stateOfRun(endpoint, startedAtMs);
     if (state != null) {
       state.adjustLoad(0, -pendingTokens);
       state.prefixCache().recordPrefill(prompt, nowMs);
@@ -299,19 +310,22 @@
   }
 
   /**
-   * Records the end of an attempt.
+   * Records the end of an attempt. Without effect if the endpoint has restarted since: neither load
+   * nor failures of the run that has ended count for the new one.
    *
    * @param endpoint the endpoint
+   * @param startedAtMs the start of the endpoint's process when the attempt was recorded
    * @param pendingTokens the number of tokens that are still counted as pending for the request
    * @param outcome the outcome of the attempt
    * @param nowMs the current time, in Unix milliseconds
    */
   public void recordOutcome(
       final EndpointId endpoint,
+      final long startedAtMs,
       final long pendingTokens,
       final AttemptOutcome outcome,
       final long nowMs) {
-    final EndpointState state = states.get(endpoint);
+    final EndpointState state = stateOfRun(endpoint, startedAtMs);
     if (state == null) {
       return;
     }
--- a/src/main/java/org/bulrushweir/balancing/PlacementSnapshot.java
+++ b/src/main/java/org/bulrushweir/balancing/PlacementSnapshot.java
@@ -14,6 +14,8 @@
  *     prefilling
  * @param transferredTokens the number of further tokens that another engine transfers
  * @param cacheSource the engine that transfers them, empty if there is none
+ * @param startedAtMs the start of the endpoint's process, in Unix milliseconds, by which the end of
+ *     the attempt is attributed to the same run of the endpoint
  * @param awaitMs the wait for segments that the endpoint prefills for another request, in
  *     milliseconds
  */
@@ -24,6 +26,7 @@
     long cachedTokens,
     long transferredTokens,
     Optional<EndpointId> cacheSource,
+    long startedAtMs,
     long awaitMs) {
 
   /**
--- a/src/main/java/org/bulrushweir/balancing/PrefixCacheModel.java
+++ b/src/main/java/org/bulrushweir/balancing/PrefixCacheModel.java
@@ -103,12 +103,6 @@
     }
   }
 
-  /** Clears the model, since an engine loses its cache when it restarts. */
-  void clear() {
-    segments.clear();
-    tokens = 0;
-  }
-
   /** A segment that is cached or in prefill. */
   private static final class CachedSegment {
     private final int tokens;
--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -54,7 +54,17 @@
    */
   private static final long FIRST_SNAPSHOT_WINDOW_MS = 100;
 
+  /** The number of removed endpoints whose last start is remembered. */
+  private static final int REMEMBERED_STARTS = 4_096;
+
   private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
+  private final Map<EndpointId, Long> startsOfRemoved =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(final Map.Entry<EndpointId, Long> eldest) {
+          return size() > REMEMBERED_STARTS;
+        }
+      };
   private final Map<EndpointId, Long> pendingRemovals = new HashMap<>();
   private Map<ServiceName, List<EndpointRecord>> byService = Map.of();
   private boolean storeReachable = true;
@@ -63,15 +73,31 @@
   private long changeCount;
 
   /**
-   * Adds or replaces a registration.
+   * Adds or replaces a registration. One that was written before the last known start of its
+   * endpoint is ignored: it was delayed on its way and describes a process that has ended.
    *
    * @param registration the endpoint as registered
+   * @return false if the registration was ignored
    */
-  public void put(final EndpointRecord registration) {
+  public boolean put(final EndpointRecord registration) {
+    if (registration.startedAtMs() < lastStartMs(registration.id())) {
+      return false;
+    }
     pendingRemovals.remove(registration.id());
+    startsOfRemoved.remove(registration.id());
     if (!registration.equals(records.put(registration.id(), registration))) {
       rebuildIndex();
     }
+    return true;
+  }
+
+  private long lastStartMs(final EndpointId id) {
+    final EndpointRecord known = records.get(id);
+    return known == null ? startsOfRemoved.getOrDefault(id, Long.MIN_VALUE) : known.startedAtMs();
+  }
+
+  private void forget(final EndpointId id) {
+    startsOfRemoved.put(id, records.remove(id).startedAtMs());
   }
 
   /**
@@ -90,7 +116,7 @@
       pendingRemovals.putIfAbsent(id, keptUntilMs);
       return;
     }
-    records.remove(id);
+    forget(id);
     rebuildIndex();
   }
 
@@ -169,7 +195,7 @@
         });
     for (final EndpointId id : expired) {
       pendingRemovals.remove(id);
-      records.remove(id);
+      forget(id);
     }
     if (!expired.isEmpty()) {
       rebuildIndex();
--- a/src/main/java/org/bulrushweir/catalog/EndpointRecord.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointRecord.java
@@ -14,8 +14,8 @@
  * @param zone its availability zone
  * @param slots the number of requests that it processes concurrently
  * @param draining whether it is about to leave and accepts no new requests
- * @param startedAtMs the start of its process in Unix milliseconds, zero if unknown; another value
- *     under the same id means that it has restarted and lost its prefix cache
+ * @param startedAtMs the start of its process in Unix milliseconds; a later value under the same id
+ *     means that it has restarted and holds nothing of before
  */
 public record EndpointRecord(
     EndpointId id,
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -135,22 +135,25 @@
    * Records that an endpoint has finished the prefill of a prompt and started to respond.
    *
    * @param endpoint the endpoint
+   * @param placement the endpoint's state before the attempt
    * @param prompt the prompt's segments in order
    * @param pendingTokens the number of tokens that the endpoint had to prefill for the request
    * @param nowMs the current time, in Unix milliseconds
    */
   void recordPrefill(
       final EndpointId endpoint,
+      final PlacementSnapshot placement,
       final List<PromptSegment> prompt,
       final long pendingTokens,
       final long nowMs) {
-    tracker.recordPrefillEnd(endpoint, prompt, pendingTokens, nowMs);
+    tracker.recordPrefillEnd(endpoint, placement.startedAtMs(), prompt, pendingTokens, nowMs);
   }
 
   /**
    * Records the end of an attempt and removes it from the endpoint's load.
    *
    * @param endpoint the endpoint
+   * @param placement the endpoint's state before the attempt
    * @param pendingTokens the number of tokens that the endpoint still had to prefill for the
    *     request
    * @param outcome the outcome of the attempt
@@ -158,9 +161,10 @@
    */
   void recordOutcome(
       final EndpointId endpoint,
+      final PlacementSnapshot placement,
       final long pendingTokens,
       final AttemptOutcome outcome,
       final long nowMs) {
-    tracker.recordOutcome(endpoint, pendingTokens, outcome, nowMs);
+    tracker.recordOutcome(endpoint, placement.startedAtMs(), pendingTokens, outcome, nowMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -49,7 +49,12 @@
   private void apply(final RowChange row) {
     final Optional<EndpointRecord> entry = decode(row);
     if (entry.isPresent()) {
-      directory.put(entry.get());
+      if (!directory.put(entry.get())) {
+        logger.atInfo().log(
+            "endpoint %s at version %d: ignoring a registration of an earlier run",
+            row.key(), row.version());
+        return;
+      }
       logger.atInfo().log(
           "endpoint %s of %s at version %d: %s",
           row.key(),
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -175,7 +175,8 @@
       return;
     }
     prefillRecorded = true;
-    core.planner().recordPrefill(endpoint, routed.head().prompt(), pendingTokens, core.nowMs());
+    core.planner()
+        .recordPrefill(endpoint, placement, routed.head().prompt(), pendingTokens, core.nowMs());
     pendingTokens = 0;
   }
 
@@ -186,7 +187,7 @@
    */
   void finish(final AttemptOutcome outcome) {
     finished = true;
-    core.planner().recordOutcome(endpoint, pendingTokens, outcome, core.nowMs());
+    core.planner().recordOutcome(endpoint, placement, pendingTokens, outcome, core.nowMs());
     pendingTokens = 0;
   }
 
--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -41,6 +41,7 @@
     final int slots = (int) reader.integer("slots");
     final String state = reader.text("state");
     reader.integer("sequence");
+    final long startedAtMs = reader.wholeNumber("born");
     if (!state.equals(READY) && !state.equals(DRAINING)) {
       reader.report("state", "is none that is known");
     }
@@ -56,7 +57,7 @@
             zone.get(),
             slots,
             state.equals(DRAINING),
-            reader.integer("born", 0)));
+            startedAtMs));
   }
 
   private static Optional<EndpointId> id(final String key, final JsonReader reader) {
--- a/src/main/java/org/bulrushweir/platform/EndpointSide.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointSide.java
@@ -105,6 +105,7 @@
    * @param zone its availability zone
    * @param slots how many requests it processes at once
    * @param draining whether it is about to leave
+   * @param startedAtMs the start of its process, in Unix milliseconds
    * @return the value of its row
    */
   public static String registration(
@@ -112,10 +113,11 @@
       final String address,
       final ZoneName zone,
       final int slots,
-      final boolean draining) {
+      final boolean draining,
+      final long startedAtMs) {
     return String.format(
         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
-            + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1}",
-        service, address, zone, slots, draining ? "draining" : "ready");
+            + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%d}",
+        service, address, zone, slots, draining ? "draining" : "ready", startedAtMs);
   }
 }
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -91,6 +91,21 @@
     return has(field) ? integer(field) : fallback;
   }
 
+  /**
+   * Reads a number that must be written without a fraction or exponent.
+   *
+   * @param field the field
+   * @return the number, zero after a finding
+   */
+  long wholeNumber(final String field) {
+    final JsonNode value = node.path(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      report(field, "is not a whole number");
+      return 0;
+    }
+    return value.longValue();
+  }
+
   /**
    * Reads a truth value.
    *
--- a/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
@@ -55,6 +55,7 @@
   private final StandInStream stream;
   private final Channel server;
   private volatile EndpointFault fault = EndpointFault.NONE;
+  private volatile long startedAtMs = System.currentTimeMillis();
 
   /**
    * Starts an endpoint and registers it.
@@ -105,7 +106,22 @@
         SharedTable.ENDPOINTS,
         id.value(),
         EndpointSide.registration(
-            service, HOST + ':' + port(), new ZoneName("zone-1"), SLOTS, draining));
+            service, HOST + ':' + port(), new ZoneName("zone-1"), SLOTS, draining, startedAtMs));
+  }
+
+  /** Registers the endpoint under the same id as a process that has just started. */
+  public void registerRestart() {
+    startedAtMs = Math.max(System.currentTimeMillis(), startedAtMs + 1);
+    register(false);
+  }
+
+  /**
+   * Returns the start that the endpoint registers.
+   *
+   * @return the time in Unix milliseconds
+   */
+  public long startedAtMs() {
+    return startedAtMs;
   }
 
   /**
--- a/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -1,6 +1,8 @@
 package org.bulrushweir.catalog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.bulrushweir.api.EndpointId;
@@ -21,6 +23,33 @@
     return new EndpointRecord(id, SERVICE, "10.0.0.1", 80, new ZoneName("zone-1"), 8, false, 0);
   }
 
+  private static EndpointRecord startedAt(final long startedAtMs, final int port) {
+    return new EndpointRecord(
+        E1, SERVICE, "10.0.0.1", port, new ZoneName("zone-1"), 8, false, startedAtMs);
+  }
+
+  @Test
+  void registrationOfAnEarlierRunIsIgnored() {
+    assertTrue(directory.put(startedAt(200, 81)));
+    assertFalse(directory.put(startedAt(100, 80)));
+    directory.replaceAll(List.of(startedAt(100, 80)), 0);
+    assertEquals(81, directory.find(E1).orElseThrow().port());
+    assertTrue(directory.put(startedAt(300, 82)));
+    assertEquals(82, directory.find(E1).orElseThrow().port());
+  }
+
+  /** A write that was delayed by the store may bring back an endpoint that has left. */
+  @Test
+  void registrationOfAnEarlierRunDoesNotReturnAfterTheEndpointHasLeft() {
+    directory.put(startedAt(200, 81));
+    directory.remove(E1, 10_000);
+    assertFalse(directory.put(startedAt(100, 80)));
+    directory.replaceAll(List.of(startedAt(100, 80)), 11_000);
+    assertEquals(0, count());
+    assertTrue(directory.put(startedAt(200, 81)));
+    assertEquals(1, count());
+  }
+
   private int count() {
     return directory.endpoints(SERVICE).size();
   }
