The model of an engine's cache follows use and the engine's own list

Besides, each look-up counted as use, and each selection looks up the prompt at all engines, so the model evicted in another order than engines do.

Change: a list of the engine is recorded whole and raises the capacity of its model to the listed sum; only prompts that are sent to the engine count as use.

Tests that fail on the old model: lookingUpPromptDoesNotCountAsUseOfIt (8,600 tokens still held), listOfFullEngineIsRecordedWhole.

--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -379,7 +379,7 @@
     refresh();
     final EndpointState state = states.get(endpoint);
     if (state != null) {
-      state.prefixCache().recordPrefill(segments, nowMs);
+      state.prefixCache().recordListed(segments, nowMs);
     }
   }
 
@@ -423,6 +423,18 @@
     return state == null ? -1 : state.inFlight(nowMs);
   }
 
+  /**
+   * Returns the prompt tokens that an endpoint still has to prefill.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the tokens of all gateways' requests, zero if the endpoint is unknown
+   */
+  long pendingTokens(final EndpointId endpoint, final long nowMs) {
+    final EndpointState state = states.get(endpoint);
+    return state == null ? 0 : state.pendingTokens(nowMs);
+  }
+
   /**
    * The position of a report among the reports of its peer. Incarnations are not ordered, because
    * the wall clock of a VM may jump: a report of any other incarnation counts as newer.
--- a/src/main/java/org/bulrushweir/balancing/PrefixCacheModel.java
+++ b/src/main/java/org/bulrushweir/balancing/PrefixCacheModel.java
@@ -10,12 +10,10 @@
  */
 final class PrefixCacheModel {
 
-  private static final int INITIAL_SEGMENTS = 64;
-  private static final float LOAD_FACTOR = 0.75f;
+  /** The segments from the least to the most recently used one. */
+  private final LinkedHashMap<Long, CachedSegment> segments = new LinkedHashMap<>();
 
-  private final LinkedHashMap<Long, CachedSegment> segments =
-      new LinkedHashMap<>(INITIAL_SEGMENTS, LOAD_FACTOR, true);
-  private final long capacityTokens;
+  private long capacityTokens;
   private long tokens;
 
   /**
@@ -80,27 +78,44 @@
   }
 
   /**
-   * Records that the engine prefills a prompt. Segments that are already in the model keep the
-   * earlier time.
+   * Records that the engine prefills a prompt and so uses its segments. Segments that are already
+   * in the model keep the earlier time.
    *
    * @param prompt the segments of the prompt in order
    * @param prefilledAtMs the time at which the prefill ends, in Unix milliseconds
    */
   void recordPrefill(final List<PromptSegment> prompt, final long prefilledAtMs) {
+    add(prompt, prefilledAtMs);
+    final Iterator<CachedSegment> eldest = segments.values().iterator();
+    while (tokens > capacityTokens && eldest.hasNext()) {
+      tokens -= eldest.next().tokens;
+      eldest.remove();
+    }
+  }
+
+  /**
+   * Records the segments that the engine itself lists as cached. None of them is evicted in favour
+   * of another one: the engine holds them all, so its capacity is at least their sum.
+   *
+   * @param listed the segments
+   * @param listedAtMs the time of the list, in Unix milliseconds
+   */
+  void recordListed(final List<PromptSegment> listed, final long listedAtMs) {
+    add(listed, listedAtMs);
+    capacityTokens = Math.max(capacityTokens, tokens);
+  }
+
+  private void add(final List<PromptSegment> prompt, final long prefilledAtMs) {
     for (final PromptSegment segment : prompt) {
       final CachedSegment entry = segments.get(segment.id());
       if (entry == null) {
-        segments.put(segment.id(), new CachedSegment(segment.tokens(), prefilledAtMs));
+        segments.putLast(segment.id(), new CachedSegment(segment.tokens(), prefilledAtMs));
         tokens += segment.tokens();
       } else {
         entry.prefilledAtMs = Math.min(entry.prefilledAtMs, prefilledAtMs);
+        segments.putLast(segment.id(), entry);
       }
     }
-    final Iterator<CachedSegment> eldest = segments.values().iterator();
-    while (tokens > capacityTokens && eldest.hasNext()) {
-      tokens -= eldest.next().tokens;
-      eldest.remove();
-    }
   }
 
   /** A segment that is cached or in prefill. */
--- a/src/main/java/org/bulrushweir/balancing/PromptSegment.java
+++ b/src/main/java/org/bulrushweir/balancing/PromptSegment.java
@@ -16,7 +16,7 @@
    * @param prompt the segments of the prompt
    * @return the number of tokens, zero for an empty prompt
    */
-  static long tokens(final List<PromptSegment> prompt) {
+  public static long tokens(final List<PromptSegment> prompt) {
     return prompt.stream().mapToLong(PromptSegment::tokens).sum();
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/EngineCacheReader.java
+++ b/src/main/java/org/bulrushweir/gateway/EngineCacheReader.java
@@ -81,6 +81,8 @@
       return;
     }
     tracker.recordCached(engine.id(), segments, clock.nowMs());
-    logger.atInfo().log("engine %s has %d cached prompt segments", engine.id(), segments.size());
+    logger.atInfo().log(
+        "engine %s has %d cached prompt segments of %d tokens",
+        engine.id(), segments.size(), PromptSegment.tokens(segments));
   }
 }
--- a/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointSelectorTest.java
@@ -215,4 +215,19 @@
     assertEquals(
         0, cache.cachedTokens(prompt(1, 1, 2)), "least recently used segments are evicted");
   }
+
+  /**
+   * Each selection looks up the prompt at every engine. An engine that is not chosen does not use
+   * the prompt, so its cache evicts it all the same.
+   */
+  @Test
+  void lookingUpPromptDoesNotCountAsUseOfIt() {
+    final PrefixCacheModel cache = new PrefixCacheModel(2 * (FIRST_TOKENS + SECOND_TOKENS));
+    cache.recordPrefill(prompt(1, 1, 1).subList(0, 2), 0);
+    cache.recordPrefill(prompt(2, 2, 1).subList(0, 2), 0);
+    assertEquals(FIRST_TOKENS + SECOND_TOKENS, cache.prefilledTokens(prompt(1, 1, 2), 0));
+    cache.recordPrefill(prompt(3, 3, 1).subList(0, 2), 0);
+    assertEquals(0, cache.cachedTokens(prompt(1, 1, 2)));
+    assertEquals(FIRST_TOKENS + SECOND_TOKENS, cache.cachedTokens(prompt(2, 2, 2)));
+  }
 }
--- a/src/test/java/org/bulrushweir/balancing/EndpointTrackerTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointTrackerTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
+import org.bulrushweir.catalog.EndpointRecord;
 import org.junit.jupiter.api.Test;
 
 /** Tests the tracking of the load and the prefix caches of endpoints. */
@@ -96,6 +98,25 @@
     assertEquals(Map.of(), tracker.ownLoads());
   }
 
+  /**
+   * A gateway that starts asks the engines what they hold. A full engine lists more than the model
+   * assumes that it keeps; what the model drops of it is prefilled again somewhere else.
+   */
+  @Test
+  void listOfFullEngineIsRecordedWhole() {
+    final List<PromptSegment> listed = new ArrayList<>();
+    for (int document = 0; document < 50; document++) {
+      listed.add(new PromptSegment(100 + document, 8_000));
+    }
+    tracker.recordCached(E1, listed, 0);
+    for (final PromptSegment document : listed) {
+      final List<PromptSegment> prompt = List.of(document, new PromptSegment(1, 100));
+      assertEquals(
+          Optional.of(E1),
+          tracker.cacheSource(new EndpointId("e2"), prompt, 0).map(EndpointRecord::id));
+    }
+  }
+
   private static List<PromptSegment> chat(final long ownSegment) {
     return List.of(new PromptSegment(1, 6_980), new PromptSegment(ownSegment, 100));
   }
