Documents behind the same instructions are spread over several engines

Cause: the home of a prompt hangs on its first shared segment alone. On the Kathmandu sites three instructions of 512 tokens stand before 173 documents of 10,000, so three engines were the home of all of them; as they reach the bound on load, requests go elsewhere and copy the documents.

--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.balancing;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -37,6 +38,12 @@
    */
   private static final double HASH_OWNER_CREDIT = 0.6;
 
+  /**
+   * The tokens that the owners of a first segment may prefill for it together, as a share of the
+   * shared segments of one prompt.
+   */
+  private static final double OWNERS_COST_SHARE = 0.5;
+
   /** The delay that each in-flight request adds to the others of its engine, in milliseconds. */
   private static final double RUNNING_MS = 1;
 
@@ -172,24 +179,25 @@
   }
 
   /**
-   * Returns the engine that rendezvous hashing assigns to the first segment of a prompt, null if
-   * all candidates are ejected.
+   * Returns the engine that rendezvous hashing assigns to the shared segments of a prompt, null if
+   * all candidates are ejected. Prompts that share only their first segment are spread over as many
+   * engines as cost half a prompt more for reading their first segment.
    */
   private static EndpointState hashOwner(
       final List<EndpointState> candidates,
       final List<PromptSegment> prompt,
       final EjectionPolicy ejection) {
-    final long firstSegment = prompt.getFirst().id();
-    EndpointState hashOwner = null;
-    long highestScore = 0;
-    for (final EndpointState state : candidates) {
-      final long score = BitMixer.mix(firstSegment ^ state.key());
-      if (!ejection.avoids(state) && (hashOwner == null || score > highestScore)) {
-        hashOwner = state;
-        highestScore = score;
-      }
-    }
-    return hashOwner;
+    final PromptSegment first = prompt.getFirst();
+    final List<PromptSegment> shared = prompt.subList(0, Math.max(1, prompt.size() - 1));
+    final long owners =
+        (long) (OWNERS_COST_SHARE * PromptSegment.tokens(shared) / Math.max(1, first.tokens()));
+    final long document = shared.getLast().id();
+    return candidates.stream()
+        .filter(state -> !ejection.avoids(state))
+        .sorted(Comparator.comparingLong(state -> -BitMixer.mix(first.id() ^ state.key())))
+        .limit(Math.max(1, owners))
+        .max(Comparator.comparingLong(state -> BitMixer.mix(document ^ state.key())))
+        .orElse(null);
   }
 
   private static double unitFraction(final long value) {
