Bytes without end: events, refusals, responses to others and lists are read up to a limit

Cause: an endpoint that never ends what it sends was read until a deadline or for ever. An event without its end was buffered whole; the body of a refusal was discarded without limit, also when nothing came after its head, and its connection never came back; responses to other requests and informational ones were skipped without limit; the lists of engines' caches and the store's replies were read whole into memory.

Change: an incomplete event of 256 KiB ends its attempt, so that the stream goes on elsewhere; the rest of a refusal is discarded up to 64 KiB and for 1 s; 16 responses and 1 MiB of bodies are skipped a request; lists are read up to 4 MiB, replies of the store up to 12 MiB. In each case the connection is closed.

Tests: EndlessBytesTest sends each kind through a real gateway and serves other requests meanwhile. With the limits taken out, five of its seven cases fail: connections stay open (three), 501 MB were sent in 2.5 s, a caller gets 504 at its deadline instead of a refusal. The head and the status line were bounded before (64 KiB).

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -32,6 +32,12 @@
    */
   private static final double KEEP_ALIVE_TIMEOUT_SHARE = 0.5;
 
+  /** The number of responses that are skipped while one request waits. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
+  /** The number of bytes of bodies that are skipped while one request waits. */
+  private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
   private final EndpointResponseDecoder decoder;
   private final EndpointRecord endpoint;
   private final ConnectionPool pool;
@@ -39,6 +45,8 @@
   private ResponseListener listener;
   private String requestId;
   private boolean skipping;
+  private int skippedResponses;
+  private long skippedBytes;
   private boolean headReceived;
   private boolean keepAlive;
   private boolean failed;
@@ -90,6 +98,8 @@
     listener = responseListener;
     requestId = id;
     headReceived = false;
+    skippedResponses = 0;
+    skippedBytes = 0;
     decoder.method(request.method());
     channel.writeAndFlush(request);
   }
@@ -139,6 +149,8 @@
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || !ResponseTranslator.belongsTo(response, requestId);
     if (skipping) {
+      skippedResponses++;
+      failIfTooMuchIsSkipped();
       return;
     }
     headReceived = true;
@@ -154,8 +166,10 @@
   private void handleContent(final HttpContent content) {
     final boolean last = content instanceof LastHttpContent;
     if (skipping) {
+      skippedBytes += content.content().readableBytes();
       content.release();
       skipping = !last;
+      failIfTooMuchIsSkipped();
       return;
     }
     if (content.content().isReadable()) {
@@ -168,6 +182,12 @@
     }
   }
 
+  private void failIfTooMuchIsSkipped() {
+    if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+      fail("the endpoint sent too much that is no response to the request");
+    }
+  }
+
   private void complete() {
     final ResponseListener responseListener = listener;
     listener = null;
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -29,6 +29,9 @@
    */
   private static final int MAX_BUFFERED_BYTES = 65_536;
 
+  /** The time after which the body of a refusal must be complete, in milliseconds. */
+  private static final long MAX_REFUSAL_MS = 1_000;
+
   private final GatewayCore core;
   private final RoutedRequest routed;
   private final CallerConnection caller;
@@ -45,6 +48,8 @@
   private ByteBuf buffered;
   private boolean prefillRecorded;
   private boolean finished;
+  private boolean responseEnded;
+  private long discardedBytes;
 
   /**
    * Creates an attempt and records it in the endpoint's load.
@@ -193,8 +198,8 @@
 
   /**
    * Cancels the attempt. If the endpoint proved that it did not run the request, the rest of its
-   * response is discarded and the connection returns to the pool; otherwise the connection is
-   * closed, so that the endpoint stops working on the request.
+   * response is discarded and the connection returns to the pool, unless that rest is long or takes
+   * long; otherwise the connection is closed, so that the endpoint stops working on the request.
    */
   void abandon() {
     final boolean refused = head != null && head.notRun();
@@ -204,11 +209,28 @@
     }
     if (refused) {
       buffered = null;
+      core.loop().schedule(this::closeUnlessResponseEnded, MAX_REFUSAL_MS, TimeUnit.MILLISECONDS);
       return;
     }
     connection.abort();
   }
 
+  /** Closes the connection of a refusal; once the response has ended, it serves other attempts. */
+  private void closeUnlessResponseEnded() {
+    if (!responseEnded) {
+      responseEnded = true;
+      connection.abort();
+    }
+  }
+
+  private void discard(final ByteBuf part) {
+    discardedBytes += part.readableBytes();
+    part.release();
+    if (discardedBytes > MAX_BUFFERED_BYTES) {
+      closeUnlessResponseEnded();
+    }
+  }
+
   /** An endpoint that has sent a head has responded, so the abort is no failure of the endpoint. */
   private AttemptOutcome abandonedOutcome() {
     return owner.isCallerDisconnected() || head != null
@@ -230,7 +252,7 @@
   @Override
   public void onPart(final ByteBuf part) {
     if (finished) {
-      part.release();
+      discard(part);
       return;
     }
     if (head.success()) {
@@ -261,6 +283,11 @@
       if (events.length > 0) {
         caller.write(Unpooled.wrappedBuffer(events));
       }
+      if (framer.isEventTooLong()) {
+        connection.abort();
+        onBroken("an event is longer than " + EventStreamFramer.MAX_EVENT_BYTES + " bytes");
+        return;
+      }
     }
     if (!caller.isWritable()) {
       connection.setAutoRead(false);
@@ -286,6 +313,7 @@
 
   @Override
   public void onEnd() {
+    responseEnded = true;
     if (finished) {
       return;
     }
@@ -301,6 +329,7 @@
 
   @Override
   public void onBroken(final String detail) {
+    responseEnded = true;
     if (finished) {
       return;
     }
--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -26,6 +26,9 @@
   private static final int TOKENS_INDEX = 2;
   private static final int HEX_RADIX = 16;
 
+  /** The longest list that is read, in bytes; 2,000 parts take about 100,000. */
+  private static final long MAX_LIST_BYTES = 4L << 20;
+
   private final OkHttpClient client;
 
   /**
@@ -83,7 +86,7 @@
         if (!response.isSuccessful()) {
           throw new IOException("status " + response.code());
         }
-        future.complete(parse(response.body().string()));
+        future.complete(parse(BoundedBody.read(response, MAX_LIST_BYTES)));
       } catch (IOException e) {
         onFailure(call, e);
       }
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -39,6 +39,10 @@
   private static final MediaType TEXT = MediaType.get("text/plain; charset=utf-8");
   private static final String NO_PARTITION = "";
   private static final String AFTER_ALL_KEYS = "\uffff";
+
+  /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
+  private static final long MAX_REPLY_BYTES = 12L << 20;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_GONE = 410;
@@ -359,7 +363,7 @@
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
-        future.complete(new Reply(response.code(), response.body().string()));
+        future.complete(new Reply(response.code(), BoundedBody.read(response, MAX_REPLY_BYTES)));
       } catch (IOException e) {
         future.completeExceptionally(
             new PlatformException("the platform's answer broke off", true, e));
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -10,6 +10,9 @@
  */
 public final class EventStreamFramer {
 
+  /** The largest event that is buffered until it is complete, in bytes. */
+  public static final int MAX_EVENT_BYTES = 262_144;
+
   private static final byte NEWLINE = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
   private static final String ID_FIELD = "id:";
@@ -109,6 +112,16 @@
     length = 0;
   }
 
+  /**
+   * Returns whether the incomplete event is longer than {@link #MAX_EVENT_BYTES}. The stream must
+   * not be read any further then, as an event without an end would fill the memory.
+   *
+   * @return true if the limit is exceeded
+   */
+  public boolean isEventTooLong() {
+    return length > MAX_EVENT_BYTES;
+  }
+
   /**
    * Returns whether the stream stopped at the boundary between two events.
    *
