--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -18,11 +18,11 @@
  * token and of the delay for the other requests of that engine. Tokens that no engine has cached
  * are weighted several times, because their prefill also delays the running requests; tokens that
  * another engine can transfer are weighted less. While no engine has cached all shared segments of
- * a prompt, the engine that rendezvous hashing of the first segment picks gets a discount on their
- * prefill. Prompts that share the segment then meet at one engine, and gateways agree on it even
- * before they have exchanged reports. Engines at or above the load bound get a cost that grows with
- * their load instead, so that others are preferred. A call goes to the endpoint with the smallest
- * share of its slots in use, with a penalty for other availability zones and a small random term.
+ * a prompt, the engine that rendezvous hashing of these segments picks gets a discount on their
+ * prefill. Prompts that share them then meet at one engine, and gateways agree on it even before
+ * they have exchanged reports. Engines at or above the load bound get a cost that grows with their
+ * load instead, so that others are preferred. A call goes to the endpoint with the smallest share
+ * of its slots in use, with a penalty for other availability zones and a small random term.
  */
 public final class EndpointSelector {
 
