EndlessBytesTest: the sound endpoint registers before the one that never ends

Cause: in the test, not the gateway. orders-1 was registered after the endless event had been sent and the lookup followed within milliseconds. The gateway's log of that run shows "orders-1: gone" at the end and no line before that it accepts requests: the registration had not been read when the lookup came.

Change: orders-1 registers before engine-1. Registrations are read in their order, so once a request has reached engine-1, orders-1 is known. All checks are as before; the lookup is still the first one and has no second try.

--- a/src/test/java/org/bulrushweir/gateway/EndlessBytesTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EndlessBytesTest.java
@@ -115,6 +115,9 @@
   @Test
   void eventWithoutEndIsGivenUpAndTheStreamGoesOnElsewhere() throws Exception {
     try (EndlessEndpoint endpoint = new EndlessEndpoint(EndlessEndpoint.Kind.EVENT)) {
+      // Registered first: the gateway reads registrations in their order.
+      final DirectEndpointStandIn sound =
+          fleet.startEndpoint("orders-1", DemoFleet.ORDERS, (StandInStream) null);
       register("engine-1", DemoFleet.ASSISTANT, endpoint.port());
       int number = 0;
       CompletableFuture<DemoAnswer> answer = sendAsync(DemoCall.draft("d0", 1));
@@ -126,8 +129,6 @@
         }
       }
       awaitRequest(endpoint);
-      final DirectEndpointStandIn sound =
-          fleet.startEndpoint("orders-1", DemoFleet.ORDERS, (StandInStream) null);
       awaitClosed(endpoint);
       assertTrue(answer.get(MAX_ANSWER_S, TimeUnit.SECONDS).status() != 200);
       assertTrue(caller.send(gateway.callersPort(), DemoCall.lookup("l1")).served());
