Stops are logged to the end: signals handled before the start, requests that a stop cuts off

A request that is cut off as the process ends leaves no line at all.

Cause: SIGTERM was handled by a shutdown hook. The JVM runs all hooks at the same time, and the one of java.util.logging removes the log handlers, so what is logged later is lost. The hook was also registered last: a signal that came just after "ready" ended the process without any draining.

Change: SIGTERM and SIGINT are handled as signals, registered before the services start (Kernel.stop waits for a start that is under way). Each request that the end of the process cuts off gets a line with outcome "cut off"; it and the refusals while draining say for how long the process has been draining and when in that time the request arrived.

Admission is unchanged.

--- a/src/main/java/org/bulrushweir/command/GatewayCommand.java
+++ b/src/main/java/org/bulrushweir/command/GatewayCommand.java
@@ -52,13 +52,13 @@
     final AsyncLogWriter log = new AsyncLogWriter(console.out(), AsyncLogWriter.DEFAULT_CAPACITY);
     LogSetup.install(settings.logFormat(), settings.logLevel(), settings.node(), log);
     final Kernel kernel = DaggerGatewayComponent.factory().create(settings, log).kernel();
+    StopSignals.handle(() -> stop(kernel, log));
     kernel.start();
     final int port = kernel.find(ServiceNames.GATEWAY, GatewayService.class).callersPort();
     console.out().println("ready " + settings.node() + " port=" + port);
     Signal.handle(
         new Signal("HUP"),
         signal -> logger.atInfo().log("SIGHUP: settings are read at the next start"));
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(kernel, log), "stop"));
     new CountDownLatch(1).await();
     return ExitCode.OK;
   }
--- a/src/main/java/org/bulrushweir/command/ProcessCommand.java
+++ b/src/main/java/org/bulrushweir/command/ProcessCommand.java
@@ -85,10 +85,10 @@
     final ProcessSettings settings = settingsReader.read(file.toString(), Files.readString(file));
     LogSetup.install(settings.logFormat(), settings.logLevel(), settings.node());
     final Kernel kernel = builder.apply(settings);
+    StopSignals.handle(() -> stop(kernel));
     kernel.start();
     final int peerPort = kernel.find(ServiceNames.PEERS, PeerService.class).port();
     console.out().println("ready " + settings.node() + " peer_port=" + peerPort);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(kernel), "stop"));
     new CountDownLatch(1).await();
     return ExitCode.OK;
   }
--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -308,6 +308,15 @@
     }
   }
 
+  /** Records the request that the end of the process cuts off, if there is one. */
+  void recordCutOff() {
+    if (exchange != null) {
+      exchange.recordCutOff();
+    } else if (responding && !discarding) {
+      core.log().recordCutOffBeforeStart(core.stopDetail(lastActivityMs));
+    }
+  }
+
   private void scheduleTimer() {
     timer =
         context
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -242,17 +242,24 @@
     if (currentAttempt != null && !currentAttempt.isFinished()) {
       currentAttempt.finish(AttemptOutcome.ANSWERED);
     }
-    core.requestFinished(
-        routed,
-        new ExchangeResult(
-            Optional.ofNullable(currentAttempt).map(ExchangeAttempt::endpoint),
-            Optional.ofNullable(currentAttempt).map(ExchangeAttempt::placement),
-            currentAttempt == null || currentAttempt.response() == null
-                ? 0
-                : currentAttempt.response().status().code(),
-            machine.attempts(),
-            outcome,
-            detail,
-            responseStartMs));
+    core.requestFinished(routed, result(outcome, detail));
+  }
+
+  private ExchangeResult result(final String outcome, final String detail) {
+    return new ExchangeResult(
+        Optional.ofNullable(currentAttempt).map(ExchangeAttempt::endpoint),
+        Optional.ofNullable(currentAttempt).map(ExchangeAttempt::placement),
+        currentAttempt == null || currentAttempt.response() == null
+            ? 0
+            : currentAttempt.response().status().code(),
+        machine.attempts(),
+        outcome,
+        detail,
+        responseStartMs);
+  }
+
+  /** Records that the end of the process cuts the request off. */
+  void recordCutOff() {
+    core.requestCutOff(routed, result("cut off", core.stopDetail(routed.arrivedMs())));
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -152,6 +152,25 @@
     List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
   }
 
+  /** Logs each request that the end of the process cuts off. */
+  void recordCutOff() {
+    connections.forEach(CallerHandler::recordCutOff);
+  }
+
+  /**
+   * Describes a request that is affected by the end of the process, for the log.
+   *
+   * @param arrivedMs the time at which the request arrived, in Unix milliseconds
+   * @return how long the process has been draining, and when in that time the request arrived
+   */
+  String stopDetail(final long arrivedMs) {
+    return "draining for "
+        + (clock.nowMs() - drainingSinceMs)
+        + " ms; the request arrived "
+        + (arrivedMs - drainingSinceMs)
+        + " ms after the stop signal";
+  }
+
   int inFlight() {
     return inFlight;
   }
@@ -220,7 +239,7 @@
       return;
     }
     if (isDraining() && !canFinishBeforeExit(route.get(), head.get())) {
-      refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
+      refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, stopDetail(clock.nowMs()));
       return;
     }
     final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant);
@@ -305,4 +324,14 @@
     inFlight--;
     log.recordFinished(routed, result);
   }
+
+  /**
+   * Records that the end of the process cuts a request off. The request stays in flight.
+   *
+   * @param routed the request
+   * @param result its state
+   */
+  void requestCutOff(final RoutedRequest routed, final ExchangeResult result) {
+    log.recordFinished(routed, result);
+  }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -237,8 +237,16 @@
       done = loops.loop().submit(() -> isDrained(startMs)).syncUninterruptibly().getNow();
     }
     followers.forEach(TableFollower::stop);
-    loops.loop().submit(() -> mesh.sendReport(true)).syncUninterruptibly();
-    logger.atInfo().log("stopped; %d requests aborted", core.inFlight());
+    loops
+        .loop()
+        .submit(
+            () -> {
+              core.recordCutOff();
+              mesh.sendReport(true);
+            })
+        .syncUninterruptibly();
+    logger.atInfo().log(
+        "stopped after %d ms; %d requests cut off", clock.nowMs() - startMs, core.inFlight());
   }
 
   private boolean isDrained(final long startMs) {
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -65,6 +65,16 @@
         withoutResponse(outcome, detail));
   }
 
+  /**
+   * Records that the end of the process cuts off a request that was still delayed at its start.
+   *
+   * @param detail when the process stopped and when the request arrived
+   */
+  void recordCutOffBeforeStart(final String detail) {
+    final RequestLogEntry.Result result = withoutResponse("cut off", detail);
+    offer("request", "", "", Optional.empty(), Optional.empty(), result);
+  }
+
   /**
    * Records the failure of a caller's connection.
    *
--- a/src/main/java/org/bulrushweir/kernel/Kernel.java
+++ b/src/main/java/org/bulrushweir/kernel/Kernel.java
@@ -50,7 +50,7 @@
   }
 
   /** Builds and starts all services. If one fails, those already started are stopped. */
-  public void start() {
+  public synchronized void start() {
     factories.keySet().stream().sorted().forEach(name -> find(name, KernelService.class));
     for (final Map.Entry<String, KernelService> entry : built.entrySet()) {
       try {
@@ -64,8 +64,8 @@
     }
   }
 
-  /** Stops all started services, the last started first. */
-  public void stop() {
+  /** Stops all started services, the last started first. Waits for a start that is under way. */
+  public synchronized void stop() {
     while (!started.isEmpty()) {
       final Map.Entry<String, KernelService> entry = started.removeFirst();
       try {
--- a/src/test/java/org/bulrushweir/process/BinaryProcess.java
+++ b/src/test/java/org/bulrushweir/process/BinaryProcess.java
@@ -23,6 +23,7 @@
   private final Process process;
   private final Path log;
   private final CompletableFuture<Integer> port = new CompletableFuture<>();
+  private final StringBuffer output = new StringBuffer();
 
   private BinaryProcess(final Process process, final Path log) {
     this.process = process;
@@ -52,6 +53,7 @@
   private void readOutput() {
     try (BufferedReader reader = process.inputReader()) {
       for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+        output.append(line).append('\n');
         final Matcher matcher = PORT.matcher(line);
         if (line.startsWith("ready ") && matcher.find()) {
           port.complete(Integer.parseInt(matcher.group(1)));
@@ -92,6 +94,15 @@
     }
   }
 
+  /**
+   * Returns what the process wrote to its standard output.
+   *
+   * @return the lines so far
+   */
+  String outputText() {
+    return output.toString();
+  }
+
   /**
    * Returns the process id.
    *
