A draining gateway accepts late requests only if their time limit ends before its exit

Cause: while it drains, a gateway accepted requests that were expected to end before its exit: 600 ms and 6 ms a token for streams, 1.5 s for calls. Engines under load need longer, so the estimate is no bound.

Its spec review came 3,123 ms after the signal and was still running when the process exited at 6.8 s.

Change: until the load balancer has noticed (2.6 s) the estimate decides as before, as a refusal there would meet callers that the balancer still sends here. After that a request is accepted only if its route's or caller's time limit, plus 0.3 s to answer, ends before the exit. The exchange ends at that limit in any case, so nothing that is accepted late can be cut off. Calls with a limit of 1.2 s are accepted until 5.3 s as before.

--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -251,7 +251,15 @@
   }
 
   private boolean canFinishBeforeExit(final Route route, final RequestHead head) {
-    return drainPolicy.accepts(route.kind(), head.outputTokens(), clock.nowMs() - drainingSinceMs);
+    return drainPolicy.accepts(
+        route.kind(),
+        head.outputTokens(),
+        timeLimitMs(route, head),
+        clock.nowMs() - drainingSinceMs);
+  }
+
+  private static long timeLimitMs(final Route route, final RequestHead head) {
+    return Math.min(route.timeoutMs(), head.timeoutMs().orElse(route.timeoutMs()));
   }
 
   /**
@@ -268,7 +276,6 @@
       final Route route,
       final Optional<Tenant> tenant) {
     final long nowMs = clock.nowMs();
-    final long timeoutMs = Math.min(route.timeoutMs(), head.timeoutMs().orElse(route.timeoutMs()));
     final boolean stream = route.kind() == RequestKind.STREAM;
     final long callStallTimeoutMs =
         Math.max(MIN_CALL_STALL_TIMEOUT_MS, CALL_STALL_TARGET_MULTIPLE * route.latencyTargetMs());
@@ -277,7 +284,7 @@
             route.retryable(),
             stream && route.resumable(),
             route.maxAttempts(),
-            nowMs + timeoutMs,
+            nowMs + timeLimitMs(route, head),
             stream ? FIRST_EVENT_TARGET_MULTIPLE * route.latencyTargetMs() : callStallTimeoutMs,
             stream ? EVENT_STALL_TIMEOUT_MS : callStallTimeoutMs);
     final int routePriority = route.priority();
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -39,12 +39,6 @@
   /** The time between two sweeps of idle connections, in milliseconds. */
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
-  /**
-   * The time within which the load balancer notices that this process is not ready, in
-   * milliseconds.
-   */
-  private static final long BALANCER_NOTICE_MS = 2_600;
-
   /**
    * The time without new connections that must pass before the process may exit, in milliseconds.
    */
@@ -251,7 +245,7 @@
 
   private boolean isDrained(final long startMs) {
     final long nowMs = clock.nowMs();
-    if (nowMs - startMs < BALANCER_NOTICE_MS) {
+    if (nowMs - startMs < DrainPolicy.BALANCER_NOTICE_MS) {
       return false;
     }
     core.closeIdleConnections();
--- a/src/main/java/org/bulrushweir/relay/DrainPolicy.java
+++ b/src/main/java/org/bulrushweir/relay/DrainPolicy.java
@@ -4,9 +4,11 @@
 import org.bulrushweir.catalog.RequestKind;
 
 /**
- * Decides which requests a draining router still accepts. The load balancer may keep sending
- * requests to it when many routers stop at once. A request that would not finish before the process
- * is killed is refused as not run, so that it is not cut off.
+ * Decides which requests a draining router still accepts. Until the load balancer has noticed that
+ * it is not ready, a router accepts all requests that are expected to finish before it exits. The
+ * load balancer may keep sending requests afterwards, when many routers stop at once: of these a
+ * router accepts only those whose time limit ends before it exits, since an engine may need far
+ * longer than expected. The others are refused as not run.
  *
  * @param graceMs the time between the stop signal and the kill of the process, in milliseconds
  */
@@ -19,6 +21,15 @@
    */
   public static final long EXIT_MARGIN_MS = 1_200;
 
+  /**
+   * The time within which the load balancer notices that a router is not ready, in milliseconds:
+   * two checks, one a second, and their time-outs.
+   */
+  public static final long BALANCER_NOTICE_MS = 2_600;
+
+  /** The time within which the response to a request at its time limit is sent, in milliseconds. */
+  private static final long RESPONSE_MARGIN_MS = 300;
+
   /**
    * The time reserved for a stream without a stated length, in milliseconds: the longest stream in
    * the data sheets.
@@ -44,18 +55,25 @@
   private static final long CALL_MS = 1_500;
 
   /**
-   * Returns whether a request is expected to finish before the process exits.
+   * Returns whether a request is accepted.
    *
    * @param kind the kind of the request
    * @param maxOutputTokens the highest number of output tokens that the request allows, empty if it
    *     does not limit them
+   * @param timeLimitMs the time after which the request is ended in any case, in milliseconds
    * @param stoppingForMs the time since the stop signal, in milliseconds
-   * @return false if the request would most likely be cut off
+   * @return false if the request might be cut off
    */
   public boolean accepts(
-      final RequestKind kind, final OptionalLong maxOutputTokens, final long stoppingForMs) {
+      final RequestKind kind,
+      final OptionalLong maxOutputTokens,
+      final long timeLimitMs,
+      final long stoppingForMs) {
+    if (stoppingForMs + timeLimitMs + RESPONSE_MARGIN_MS <= exitAfterMs()) {
+      return true;
+    }
     final long expectedMs = kind == RequestKind.STREAM ? streamMs(maxOutputTokens) : CALL_MS;
-    return stoppingForMs + expectedMs <= exitAfterMs();
+    return stoppingForMs <= BALANCER_NOTICE_MS && stoppingForMs + expectedMs <= exitAfterMs();
   }
 
   private static long streamMs(final OptionalLong maxOutputTokens) {
