A gateway that has drained refuses what comes until its process has ended

Cause: a stop ends when nothing is in flight and no connection came for 0.4 s, or at the exit time. After that check the log, the sockets and the other services are closed, while the event loop went on to accept connections, to send requests to endpoints and to be killed with them.

Change: the check and the refusal of all later requests (503, not run) happen in one task of the event loop.

--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -75,6 +75,7 @@
   private final DrainPolicy drainPolicy;
   private final StartGate gate;
   private long drainingSinceMs = NOT_DRAINING;
+  private boolean exiting;
   private int inFlight;
   private long lastConnectionOpenedMs;
 
@@ -147,6 +148,14 @@
     drainingSinceMs = clock.nowMs();
   }
 
+  /**
+   * Refuses all requests from now on: the process is about to exit and waits for none of them. Must
+   * run in the same task as the check that nothing is in flight.
+   */
+  void startExit() {
+    exiting = true;
+  }
+
   /** Closes the connections of callers that have no request in progress. */
   void closeIdleConnections() {
     List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
@@ -196,7 +205,7 @@
    * @param body the request body, empty if there is none
    */
   void serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
-    if (gate.isClosed()) {
+    if (gate.isClosed() && !exiting) {
       gate.delay(() -> serveUnlessClosed(caller, request, body));
       return;
     }
@@ -251,11 +260,12 @@
   }
 
   private boolean canFinishBeforeExit(final Route route, final RequestHead head) {
-    return drainPolicy.accepts(
-        route.kind(),
-        head.outputTokens(),
-        timeLimitMs(route, head),
-        clock.nowMs() - drainingSinceMs);
+    return !exiting
+        && drainPolicy.accepts(
+            route.kind(),
+            head.outputTokens(),
+            timeLimitMs(route, head),
+            clock.nowMs() - drainingSinceMs);
   }
 
   private static long timeLimitMs(final Route route, final RequestHead head) {
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -220,16 +220,17 @@
     final long exitByMs = startMs + drainPolicy.exitAfterMs();
     loops.loop().submit(core::startDraining).syncUninterruptibly();
     logger.atInfo().log("draining; %d requests in flight", core.inFlight());
-    boolean done = false;
-    while (!done && clock.nowMs() < exitByMs) {
+    boolean drained = false;
+    while (!drained && clock.nowMs() < exitByMs) {
       try {
         Thread.sleep(DRAIN_CHECK_INTERVAL_MS);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
       }
-      done = loops.loop().submit(() -> isDrained(startMs)).syncUninterruptibly().getNow();
+      drained = loops.loop().submit(() -> exitIfDrained(startMs)).syncUninterruptibly().getNow();
     }
+    loops.loop().submit(core::startExit).syncUninterruptibly();
     followers.forEach(TableFollower::stop);
     loops
         .loop()
@@ -243,12 +244,17 @@
         "stopped after %d ms; %d requests cut off", clock.nowMs() - startMs, core.inFlight());
   }
 
-  private boolean isDrained(final long startMs) {
+  /** Stops accepting requests if none is left; returns whether that is so. */
+  private boolean exitIfDrained(final long startMs) {
     final long nowMs = clock.nowMs();
     if (nowMs - startMs < DrainPolicy.BALANCER_NOTICE_MS) {
       return false;
     }
     core.closeIdleConnections();
-    return core.inFlight() == 0 && nowMs - core.lastConnectionOpenedMs() > QUIET_PERIOD_MS;
+    if (core.inFlight() > 0 || nowMs - core.lastConnectionOpenedMs() <= QUIET_PERIOD_MS) {
+      return false;
+    }
+    core.startExit();
+    return true;
   }
 }
