Connections are closed as idle only after their last response was sent

Cause: a draining gateway closes connections without a request. Netty's close drops what is written and not yet sent, so a caller that reads slowly, or sits behind a slow link, lost the end of a response that had been completed before. A stop also ended when nothing was in flight, though callers had not received all of their responses.

Change: idle connections are closed after sending (or after the idle timeout, if the caller does not read), and a stop waits until no connection is left, at most until its exit time as before.

Test: CallerHandlerTest: "closed before the response was sent" on the code before. The fixture that builds a core without sockets moved out of ExchangeAttemptTest, whose check is unchanged.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -243,6 +243,7 @@
 
   private void finish(final HttpObject last) {
     exchange = null;
+    lastActivityMs = core.nowMs();
     if (!keepAlive) {
       discarding = true;
       context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
@@ -251,7 +252,6 @@
     }
     context.writeAndFlush(last, context.voidPromise());
     responding = false;
-    lastActivityMs = core.nowMs();
     if (!queued.isEmpty()) {
       context.executor().execute(this::handleQueued);
     }
@@ -303,11 +303,18 @@
 
   /** Closes the connection if no request is being received or answered. */
   void closeIfIdle() {
-    if (!responding && request == null && !headTimer.isHeadIncomplete()) {
-      context.close();
+    if (!responding && !discarding && request == null && !headTimer.isHeadIncomplete()) {
+      closeAfterSending();
     }
   }
 
+  /** Closes the connection once the caller has taken what was written; ignores what it sends. */
+  private void closeAfterSending() {
+    discarding = true;
+    lastActivityMs = core.nowMs();
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
   /** Records the request that the end of the process cuts off, if there is one. */
   void recordCutOff() {
     if (exchange != null) {
@@ -324,20 +331,27 @@
             .schedule(this::checkTimeouts, limits.headerTimeoutMs(), TimeUnit.MILLISECONDS);
   }
 
-  /** Closes the connection if it is idle, and refuses a request that is not received in time. */
+  /**
+   * Closes the connection if it is idle or if the caller does not take its last response, and
+   * refuses a request that is not received in time.
+   */
   private void checkTimeouts() {
     final long nowMs = core.nowMs();
+    final boolean idle = nowMs - lastActivityMs >= limits.idleTimeoutMs();
+    if (discarding && idle) {
+      context.close();
+      return;
+    }
     if (!responding && !discarding) {
       final boolean slowHead =
           headTimer.isHeadIncomplete()
               && nowMs - headTimer.headStartedMs() >= limits.headerTimeoutMs();
-      final boolean idle = nowMs - lastActivityMs >= limits.idleTimeoutMs();
       if (slowHead || request != null && idle) {
         refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
         return;
       }
       if (idle) {
-        context.close();
+        closeAfterSending();
         return;
       }
     }
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -184,6 +184,10 @@
     return inFlight;
   }
 
+  boolean hasConnections() {
+    return !connections.isEmpty();
+  }
+
   long lastConnectionOpenedMs() {
     return lastConnectionOpenedMs;
   }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -211,8 +211,8 @@
   }
 
   /**
-   * Drains the gateway: reports not ready, completes the requests in flight, and returns when they
-   * are done or when the grace period is about to end.
+   * Drains the gateway: reports not ready, completes the requests in flight, and returns when their
+   * callers have received all responses or when the grace period is about to end.
    */
   @Override
   public void stop() {
@@ -244,14 +244,17 @@
         "stopped after %d ms; %d requests cut off", clock.nowMs() - startMs, core.inFlight());
   }
 
-  /** Stops accepting requests if none is left; returns whether that is so. */
+  /**
+   * Stops accepting requests if no caller sends a request or still receives a response; returns
+   * whether that is so.
+   */
   private boolean exitIfDrained(final long startMs) {
     final long nowMs = clock.nowMs();
     if (nowMs - startMs < DrainPolicy.BALANCER_NOTICE_MS) {
       return false;
     }
     core.closeIdleConnections();
-    if (core.inFlight() > 0 || nowMs - core.lastConnectionOpenedMs() <= QUIET_PERIOD_MS) {
+    if (core.hasConnections() || nowMs - core.lastConnectionOpenedMs() <= QUIET_PERIOD_MS) {
       return false;
     }
     core.startExit();
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -0,0 +1,61 @@
+package org.bulrushweir.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.bulrushweir.balancing.EndpointTracker;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.junit.jupiter.api.Test;
+
+/** Tests when the connection of a caller is closed. */
+class CallerHandlerTest {
+
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private final GatewayCore core =
+      GatewayCoreFixture.create(directory, new EndpointTracker(directory, service -> 0, 1));
+  private final CallerHandler handler = new CallerHandler(core, new RequestHeadTimer(core::nowMs));
+  private final SlowCaller slowCaller = new SlowCaller();
+
+  @Test
+  void idleConnectionIsClosedOnlyAfterItsLastResponseWasSent() {
+    final EmbeddedChannel channel = new EmbeddedChannel(slowCaller, handler);
+    channel.writeInbound(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host"));
+    handler.closeIfIdle();
+    assertTrue(channel.isOpen(), "closed before the response was sent");
+    slowCaller.read();
+    channel.runPendingTasks();
+    assertEquals(400, ((HttpResponse) channel.readOutbound()).status().code());
+    assertFalse(channel.isOpen());
+  }
+
+  /** Holds what is written until the caller reads. */
+  private static final class SlowCaller extends ChannelOutboundHandlerAdapter {
+    private Runnable pendingWrites = () -> {};
+
+    @Override
+    public void write(
+        final ChannelHandlerContext context, final Object message, final ChannelPromise promise) {
+      final Runnable earlier = pendingWrites;
+      pendingWrites =
+          () -> {
+            earlier.run();
+            context.writeAndFlush(message, promise);
+          };
+    }
+
+    void read() {
+      pendingWrites.run();
+      pendingWrites = () -> {};
+    }
+  }
+}
--- a/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
@@ -2,38 +2,24 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
-import org.bulrushweir.balancing.EndpointSelector;
 import org.bulrushweir.balancing.EndpointTracker;
-import org.bulrushweir.balancing.RetryBudget;
-import org.bulrushweir.balancing.RetryBudgetSettings;
-import org.bulrushweir.balancing.SelectorSettings;
-import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
 import org.bulrushweir.catalog.WeightedService;
-import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.relay.AttemptId;
-import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.relay.EventStreamFramer;
 import org.bulrushweir.relay.RelayEvent;
 import org.bulrushweir.relay.RelayLimits;
 import org.bulrushweir.relay.RequestHead;
-import org.bulrushweir.settings.SocketAddressSettings;
-import org.bulrushweir.store.SharedTable;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -51,35 +37,6 @@
   private final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
   private final List<RelayEvent> events = new ArrayList<>();
 
-  private GatewayCore core() {
-    final Clock clock = () -> 0;
-    final NodeId node = new NodeId("gateway-1");
-    final ActivePlan activePlan = new ActivePlan();
-    final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
-    final PeerMesh mesh =
-        new PeerMesh(
-            node,
-            new SocketAddressSettings("127.0.0.1", 0),
-            clock,
-            tracker,
-            activePlan,
-            retryBudget,
-            null);
-    final EndpointSelector selector =
-        new EndpointSelector(tracker, ZONE, new SelectorSettings(2, 1));
-    final AsyncLogWriter log =
-        new AsyncLogWriter(new PrintStream(OutputStream.nullOutputStream()), 10);
-    return new GatewayCore(
-        clock,
-        null,
-        activePlan,
-        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh),
-        null,
-        new DrainPolicy(1_000),
-        new StartGate(EnumSet.noneOf(SharedTable.class)),
-        new RequestLog(node, clock, activePlan, new GatewayMetrics(), log));
-  }
-
   private static RoutedRequest routedRequest() {
     final Route route =
         new Route(
@@ -138,7 +95,7 @@
     directory.put(new EndpointRecord(ENDPOINT, ORDERS, "127.0.0.1", 9, ZONE, 6, false, 0));
     final ExchangeAttempt attempt =
         new ExchangeAttempt(
-            core(),
+            GatewayCoreFixture.create(directory, tracker),
             routedRequest(),
             null,
             new EventStreamFramer(-1),
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -0,0 +1,59 @@
+package org.bulrushweir.gateway;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.EnumSet;
+import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.NodeId;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.balancing.EndpointSelector;
+import org.bulrushweir.balancing.EndpointTracker;
+import org.bulrushweir.balancing.RetryBudget;
+import org.bulrushweir.balancing.RetryBudgetSettings;
+import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.catalog.ActivePlan;
+import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.relay.DrainPolicy;
+import org.bulrushweir.settings.SocketAddressSettings;
+import org.bulrushweir.store.SharedTable;
+
+/**
+ * Creates the core of a gateway without sockets, event loop and plan, at a time that stands still.
+ */
+final class GatewayCoreFixture {
+
+  private GatewayCoreFixture() {}
+
+  /** Creates the core, with an open start gate. */
+  static GatewayCore create(final EndpointDirectory directory, final EndpointTracker tracker) {
+    final Clock clock = () -> 0;
+    final NodeId node = new NodeId("gateway-1");
+    final ActivePlan activePlan = new ActivePlan();
+    final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
+    final PeerMesh mesh =
+        new PeerMesh(
+            node,
+            new SocketAddressSettings("127.0.0.1", 0),
+            clock,
+            tracker,
+            activePlan,
+            retryBudget,
+            null);
+    final EndpointSelector selector =
+        new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
+    final AsyncLogWriter log =
+        new AsyncLogWriter(new PrintStream(OutputStream.nullOutputStream()), 10);
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    gate.wrap(SharedTable.ENDPOINTS, new EndpointListener(directory, clock)).onUnreachable(0);
+    return new GatewayCore(
+        clock,
+        null,
+        activePlan,
+        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh),
+        null,
+        new DrainPolicy(1_000),
+        gate,
+        new RequestLog(node, clock, activePlan, new GatewayMetrics(), log));
+  }
+}
