Lines of failed attempts tell the shared segments of the prompt and when the response started

A line of a failed attempt now has "shared_segments" (all but the last, which belongs to the request) and "first_ms" (-1 if the endpoint did not respond). No decision changes.

--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -231,8 +231,8 @@
       final long queuedTokens = state.pendingTokens(nowMs) + snapshot.transferredTokens();
       final long prefilledInMs = (long) (PREFILL_SLOWDOWN * queuedTokens / prefillTokensPerMs);
       state.prefixCache().recordPrefill(prompt, nowMs + prefilledInMs);
-      final List<PromptSegment> shared = List.copyOf(prompt.subList(0, prompt.size() - 1));
-      placements.add(new PeerReport.Placement(endpoint, shared, prefilledInMs));
+      placements.add(
+          new PeerReport.Placement(endpoint, PromptSegment.shared(prompt), prefilledInMs));
       unreportedPrefillTokens += snapshot.prefillTokens() + snapshot.transferredTokens();
     }
     return snapshot;
--- a/src/main/java/org/bulrushweir/balancing/PromptSegment.java
+++ b/src/main/java/org/bulrushweir/balancing/PromptSegment.java
@@ -19,4 +19,14 @@
   public static long tokens(final List<PromptSegment> prompt) {
     return prompt.stream().mapToLong(PromptSegment::tokens).sum();
   }
+
+  /**
+   * Returns the segments of a prompt that other requests may share.
+   *
+   * @param prompt the segments of the prompt
+   * @return all segments but the last one, empty for an empty prompt
+   */
+  public static List<PromptSegment> shared(final List<PromptSegment> prompt) {
+    return List.copyOf(prompt.subList(0, Math.max(0, prompt.size() - 1)));
+  }
 }
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.balancing.AttemptOutcome;
@@ -46,6 +47,7 @@
   private HttpResponse response;
   private ResponseHead head;
   private ByteBuf buffered;
+  private OptionalLong responseStartMs = OptionalLong.empty();
   private boolean prefillRecorded;
   private boolean finished;
   private boolean responseEnded;
@@ -160,7 +162,8 @@
       return;
     }
     finish(AttemptOutcome.UNREACHABLE);
-    core.log().recordFailedAttempt(routed, endpoint, placement, "not sent", detail);
+    core.log()
+        .recordFailedAttempt(routed, endpoint, placement, OptionalLong.empty(), "not sent", detail);
     owner.handle(new RelayEvent.NotSent(id, detail));
   }
 
@@ -241,6 +244,7 @@
   @Override
   public void onHead(final HttpResponse received) {
     response = received;
+    responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
@@ -336,7 +340,7 @@
     finish(AttemptOutcome.FAILED);
     buffered = null;
     framer.discardPartialEvent();
-    core.log().recordFailedAttempt(routed, endpoint, placement, "broken", detail);
+    core.log().recordFailedAttempt(routed, endpoint, placement, responseStartMs, "broken", detail);
     owner.handle(new RelayEvent.Broken(id, detail));
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -1,10 +1,13 @@
 package org.bulrushweir.gateway;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.PlacementSnapshot;
+import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.logging.AsyncLogWriter;
@@ -91,6 +94,8 @@
    * @param routed the request
    * @param endpoint the endpoint of the attempt
    * @param placement the load and cache state of the endpoint before the attempt
+   * @param responseStartMs the time at which the endpoint started to respond, in Unix milliseconds,
+   *     empty if it did not
    * @param result the name of the failure, used as label value
    * @param detail the cause
    */
@@ -98,17 +103,23 @@
       final RoutedRequest routed,
       final EndpointId endpoint,
       final PlacementSnapshot placement,
+      final OptionalLong responseStartMs,
       final String result,
       final String detail) {
     metrics.recordFailedAttempt(result);
+    final long firstMs =
+        responseStartMs.isPresent()
+            ? responseStartMs.getAsLong() - routed.arrivedMs()
+            : NOT_STARTED;
     offer(
         "attempt_failed",
         routed.head().id(),
         routed.route().name(),
         Optional.of(endpoint),
         Optional.of(placement),
+        PromptSegment.shared(routed.head().prompt()),
         new RequestLogEntry.Result(
-            0, 0, NOT_STARTED, clock.nowMs() - routed.arrivedMs(), result, detail));
+            0, 0, firstMs, clock.nowMs() - routed.arrivedMs(), result, detail));
   }
 
   /**
@@ -151,6 +162,17 @@
       final Optional<EndpointId> endpoint,
       final Optional<PlacementSnapshot> placement,
       final RequestLogEntry.Result result) {
+    offer(event, request, route, endpoint, placement, List.of(), result);
+  }
+
+  private void offer(
+      final String event,
+      final String request,
+      final String route,
+      final Optional<EndpointId> endpoint,
+      final Optional<PlacementSnapshot> placement,
+      final List<PromptSegment> sharedSegments,
+      final RequestLogEntry.Result result) {
     final long nowMs = clock.nowMs();
     log.offer(
         new RequestLogEntry(
@@ -161,6 +183,7 @@
             route,
             endpoint,
             placement,
+            sharedSegments,
             activePlan.current().map(RoutingPlan::version).orElse(0L),
             activePlan.confirmationAgeMs(nowMs),
             result));
--- a/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
@@ -2,10 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.PlacementSnapshot;
+import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.logging.JsonLine;
 import org.bulrushweir.logging.LogLine;
 
@@ -20,6 +23,8 @@
  * @param endpoint the endpoint, empty if there is none
  * @param placement the load and cache state of the endpoint before the attempt, empty if there was
  *     none
+ * @param sharedSegments the segments of a failed attempt's prompt that other requests may share,
+ *     otherwise empty
  * @param planVersion the version of the active plan, zero for none
  * @param planAgeMs the time since the store last confirmed the plan, in milliseconds
  * @param result the result of the request or of the attempt
@@ -32,6 +37,7 @@
     String route,
     Optional<EndpointId> endpoint,
     Optional<PlacementSnapshot> placement,
+    List<PromptSegment> sharedSegments,
     long planVersion,
     long planAgeMs,
     Result result)
@@ -66,11 +72,20 @@
     if (placement.isPresent()) {
       writePlacement(json, placement.get());
     }
+    if (!sharedSegments.isEmpty()) {
+      json.writeStringField("shared_segments", hexIds(sharedSegments));
+    }
     json.writeNumberField("plan", planVersion);
     json.writeNumberField("plan_age_ms", planAgeMs);
     writeResult(json);
   }
 
+  private static String hexIds(final List<PromptSegment> segments) {
+    return segments.stream()
+        .map(segment -> Long.toHexString(segment.id()))
+        .collect(Collectors.joining(","));
+  }
+
   private static void writePlacement(final JsonGenerator json, final PlacementSnapshot placement)
       throws IOException {
     json.writeNumberField("in_flight", placement.inFlight());
