Prompt segments under which engines crash are quarantined by all gateways

Cause: nothing connected the end of an engine with what it had just begun to answer. The engine was taken for the failing part, so the request went to the next engine, at once as a repeat and later from any gateway, and no gateway knew what the others had seen.

Change: package quarantine decides, without I/O. Suspects of a crash are the shared segments of all requests that the engine was about to answer or had begun to answer within 0.5 s, at all gateways. A segment that was a suspect of three crashes at different moments and with which no request was answered since is quarantined: requests with it are refused as not run (Retry-After 60 s), and attempts with it that the engine has not answered yet are cancelled. Answers clear the segments of sound requests; crashes that a quarantined segment explains don't count against its neighbours; engines that end together count once. A crash is told from a broken connection by opening one: a refusal shows that the process has ended. Gateways tell each other crashes, answers of suspects and quarantines in the reports that they exchange anyway (bounded: 8 crashes of 32 suspects, 64 answers, 64 segments), so a gateway that starts learns them from its peers.

--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.balancing.AttemptOutcome;
@@ -12,6 +13,7 @@
 import org.bulrushweir.balancing.RetryBudget;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.routing.BitMixer;
 
 /**
@@ -27,6 +29,7 @@
   private final EndpointSelector selector;
   private final RetryBudget retryBudget;
   private final PeerMesh mesh;
+  private final PromptQuarantine quarantine;
 
   /**
    * Creates a planner.
@@ -36,18 +39,21 @@
    * @param selector selects endpoints
    * @param retryBudget limits retries
    * @param mesh reports to peers which prompts were sent where
+   * @param quarantine the prompt segments that are kept away from engines
    */
   AttemptPlanner(
       final EndpointDirectory directory,
       final EndpointTracker tracker,
       final EndpointSelector selector,
       final RetryBudget retryBudget,
-      final PeerMesh mesh) {
+      final PeerMesh mesh,
+      final PromptQuarantine quarantine) {
     this.directory = directory;
     this.tracker = tracker;
     this.selector = selector;
     this.retryBudget = retryBudget;
     this.mesh = mesh;
+    this.quarantine = quarantine;
   }
 
   /**
@@ -65,10 +71,13 @@
    * @param routed the request
    * @param excluded the endpoints that the request has already been sent to
    * @param nowMs the current time, in Unix milliseconds
-   * @return the endpoint, empty if none accepts new work
+   * @return the endpoint, empty if none accepts new work or if the prompt is in quarantine
    */
   Optional<EndpointId> choose(
       final RoutedRequest routed, final Set<EndpointId> excluded, final long nowMs) {
+    if (findQuarantined(routed.head().prompt(), nowMs).isPresent()) {
+      return Optional.empty();
+    }
     return selector.choose(
         routed.service(),
         routed.head().prompt(),
@@ -77,6 +86,27 @@
         nowMs);
   }
 
+  /**
+   * Finds a segment of a prompt that is kept away from engines.
+   *
+   * @param prompt the prompt's segments in order, empty for a call
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the id of the segment, empty if there is none
+   */
+  OptionalLong findQuarantined(final List<PromptSegment> prompt, final long nowMs) {
+    return quarantine.findQuarantined(prompt, nowMs);
+  }
+
+  /**
+   * Records that an engine has answered a prompt completely.
+   *
+   * @param prompt the prompt's segments in order, empty for a call
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  void recordAnswer(final List<PromptSegment> prompt, final long nowMs) {
+    quarantine.recordAnswer(prompt, nowMs);
+  }
+
   /**
    * Withdraws one retry from the retry budget of the request's service.
    *
--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -315,6 +315,13 @@
     context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** Ends the current attempt of the request if its endpoint would crash when it responds. */
+  void cancelIfQuarantined() {
+    if (exchange != null) {
+      exchange.cancelIfQuarantined();
+    }
+  }
+
   /** Records the request that the end of the process cuts off, if there is one. */
   void recordCutOff() {
     if (exchange != null) {
--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -5,9 +5,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -78,7 +80,31 @@
       onReady.accept(reused);
       return;
     }
-    open(endpoint, onReady, onFailure);
+    open(
+        endpoint,
+        onReady,
+        cause ->
+            onFailure.accept("could not connect to " + endpoint.id() + ": " + cause.getMessage()));
+  }
+
+  /**
+   * Finds out whether an endpoint's process has ended, by opening a connection. A connection that
+   * opens becomes an idle one.
+   *
+   * @param endpoint the endpoint
+   * @param onResult receives true if the connection was refused, false if it was opened or if the
+   *     endpoint could not be reached
+   */
+  void checkEnded(final EndpointRecord endpoint, final Consumer<Boolean> onResult) {
+    open(
+        endpoint,
+        connection -> {
+          release(connection);
+          onResult.accept(false);
+        },
+        cause ->
+            onResult.accept(
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)));
   }
 
   private EndpointConnection takeIdle(final EndpointRecord endpoint, final long maxIdleMs) {
@@ -97,7 +123,7 @@
   private void open(
       final EndpointRecord endpoint,
       final Consumer<EndpointConnection> onReady,
-      final Consumer<String> onFailure) {
+      final Consumer<Throwable> onFailure) {
     final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
     final EndpointConnection connection = new EndpointConnection(endpoint, decoder, this);
     opened++;
@@ -117,8 +143,7 @@
           if (result.isSuccess()) {
             onReady.accept(connection);
           } else {
-            onFailure.accept(
-                "could not connect to " + endpoint.id() + ": " + result.cause().getMessage());
+            onFailure.accept(result.cause());
           }
         });
   }
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -258,6 +258,13 @@
         responseStartMs);
   }
 
+  /** Ends the current attempt if its endpoint would crash when it responds. */
+  void cancelIfQuarantined() {
+    if (currentAttempt != null) {
+      currentAttempt.cancelIfQuarantined();
+    }
+  }
+
   /** Records that the end of the process cuts the request off. */
   void recordCutOff() {
     core.requestCutOff(routed, result("cut off", core.stopDetail(routed.arrivedMs())));
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -33,6 +33,14 @@
   /** The time after which the body of a refusal must be complete, in milliseconds. */
   private static final long MAX_REFUSAL_MS = 1_000;
 
+  /**
+   * The time after the start of a response within which a crash of the endpoint may be due to the
+   * request, in milliseconds.
+   */
+  private static final long RESPONSE_START_MS = 500;
+
+  private static final String QUARANTINED = "a segment of the prompt is in quarantine";
+
   private final GatewayCore core;
   private final RoutedRequest routed;
   private final CallerConnection caller;
@@ -43,6 +51,7 @@
   private final Optional<EndpointRecord> cacheSource;
   private final PlacementSnapshot placement;
   private long pendingTokens;
+  private EndpointRecord target;
   private EndpointConnection connection;
   private HttpResponse response;
   private ResponseHead head;
@@ -120,20 +129,20 @@
    * cached, but no longer than {@code EndpointTracker.MAX_AWAIT_MS}.
    */
   void start() {
-    final Optional<EndpointRecord> target = core.planner().find(endpoint);
-    if (target.isEmpty()) {
+    target = core.planner().find(endpoint).orElse(null);
+    if (target == null) {
       finish(AttemptOutcome.ABANDONED);
       owner.handle(new RelayEvent.NotSent(id, "the endpoint is no longer registered"));
       return;
     }
     if (placement.awaitMs() > 0) {
-      core.loop().schedule(() -> connect(target.get()), placement.awaitMs(), TimeUnit.MILLISECONDS);
+      core.loop().schedule(this::connect, placement.awaitMs(), TimeUnit.MILLISECONDS);
       return;
     }
-    connect(target.get());
+    connect();
   }
 
-  private void connect(final EndpointRecord target) {
+  private void connect() {
     if (finished) {
       return;
     }
@@ -146,12 +155,31 @@
       core.pool().release(acquired);
       return;
     }
+    if (isQuarantined()) {
+      core.pool().release(acquired);
+      finish(AttemptOutcome.ABANDONED);
+      owner.handle(new RelayEvent.NotSent(id, QUARANTINED));
+      return;
+    }
     connection = acquired;
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
     owner.writeRequest(this, acquired);
   }
 
+  private boolean isQuarantined() {
+    return core.planner().findQuarantined(routed.head().prompt(), core.nowMs()).isPresent();
+  }
+
+  /** Ends the attempt if the endpoint has not responded and would crash if it did. */
+  void cancelIfQuarantined() {
+    if (!finished && connection != null && head == null && isQuarantined()) {
+      finish(AttemptOutcome.ABANDONED);
+      connection.abort();
+      owner.handle(new RelayEvent.Broken(id, QUARANTINED));
+    }
+  }
+
   /**
    * Ends the attempt because no connection could be opened.
    *
@@ -328,6 +356,9 @@
       onBroken("the stream ended within an event");
       return;
     }
+    if (head.success()) {
+      core.planner().recordAnswer(routed.head().prompt(), core.nowMs());
+    }
     owner.handle(new RelayEvent.Ended(id));
   }
 
@@ -338,6 +369,10 @@
       return;
     }
     finish(AttemptOutcome.FAILED);
+    if (!routed.head().prompt().isEmpty()
+        && core.nowMs() - responseStartMs.orElse(core.nowMs()) <= RESPONSE_START_MS) {
+      core.crashDetector().attemptBroken(target, routed.head().prompt());
+    }
     buffered = null;
     framer.discardPartialEvent();
     core.log().recordFailedAttempt(routed, endpoint, placement, responseStartMs, "broken", detail);
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushweir.api.Clock;
@@ -63,6 +64,12 @@
    */
   private static final long EVENT_STALL_TIMEOUT_MS = 1_000;
 
+  /**
+   * The {@code Retry-After} delay for a request that would crash an engine, in milliseconds; the
+   * segment has to change first.
+   */
+  private static final long QUARANTINE_RETRY_AFTER_MS = 60_000;
+
   private static final long NOT_DRAINING = -1;
 
   private final Set<CallerHandler> connections = new HashSet<>();
@@ -72,6 +79,7 @@
   private final AttemptPlanner planner;
   private final ConnectionPool pool;
   private final RequestLog log;
+  private final CrashDetector crashDetector;
   private final DrainPolicy drainPolicy;
   private final StartGate gate;
   private long drainingSinceMs = NOT_DRAINING;
@@ -88,6 +96,7 @@
    * @param planner selects endpoints and tracks attempts
    * @param pool holds connections to endpoints
    * @param drainPolicy decides which requests are accepted while the process drains
+   * @param crashDetector finds out whether endpoints have crashed
    * @param gate delays requests until the store's tables have been read
    * @param log counts and logs the outcomes of requests
    */
@@ -97,6 +106,7 @@
       final ActivePlan activePlan,
       final AttemptPlanner planner,
       final ConnectionPool pool,
+      final CrashDetector crashDetector,
       final DrainPolicy drainPolicy,
       final StartGate gate,
       final RequestLog log) {
@@ -105,6 +115,7 @@
     this.activePlan = activePlan;
     this.planner = planner;
     this.pool = pool;
+    this.crashDetector = crashDetector;
     this.drainPolicy = drainPolicy;
     this.gate = gate;
     this.log = log;
@@ -126,6 +137,15 @@
     return pool;
   }
 
+  CrashDetector crashDetector() {
+    return crashDetector;
+  }
+
+  /** Ends the attempts that would crash their endpoints. */
+  void cancelQuarantined() {
+    List.copyOf(connections).forEach(CallerHandler::cancelIfQuarantined);
+  }
+
   CallerLimits limits() {
     return activePlan.current().map(RoutingPlan::limits).orElse(CallerLimits.DEFAULT);
   }
@@ -255,6 +275,16 @@
       refuse(caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, stopDetail(clock.nowMs()));
       return;
     }
+    final OptionalLong quarantined = planner.findQuarantined(head.get().prompt(), clock.nowMs());
+    if (quarantined.isPresent()) {
+      final String segment = Long.toHexString(quarantined.getAsLong());
+      log.recordRefusal(
+          id,
+          HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+          "engines crash under segment " + segment + " of the prompt");
+      caller.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, QUARANTINE_RETRY_AFTER_MS);
+      return;
+    }
     final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant);
     planner.recordRequest(routed);
     inFlight++;
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -15,6 +15,7 @@
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.platform.EngineCacheClient;
+import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.SocketAddressSettings;
@@ -54,6 +55,7 @@
   private final GatewayMetrics metrics;
   private final GatewayCore core;
   private final DrainPolicy drainPolicy;
+  private final PromptQuarantine quarantine = new PromptQuarantine();
   private final PeerMesh mesh;
   private final EndpointListener endpointListener;
   private final ConnectionPool pool;
@@ -102,19 +104,22 @@
     this.pool = new ConnectionPool(loops.group(), clock);
     this.mesh =
         new PeerMesh(
-            settings.node(), settings.peers(), clock, tracker, activePlan, retryBudget, loop);
+            settings.node(),
+            settings.peers(),
+            clock,
+            tracker,
+            activePlan,
+            retryBudget,
+            quarantine,
+            loop);
     this.core =
         new GatewayCore(
             clock,
             loop,
             activePlan,
-            new AttemptPlanner(
-                directory,
-                tracker,
-                new EndpointSelector(tracker, settings.zone(), settings.selector()),
-                retryBudget,
-                mesh),
+            planner(directory, tracker, retryBudget),
             pool,
+            new CrashDetector(pool, quarantine, clock),
             drainPolicy,
             gate,
             new RequestLog(settings.node(), clock, activePlan, metrics, log));
@@ -137,6 +142,19 @@
     addGauges(activePlan, log);
   }
 
+  private AttemptPlanner planner(
+      final EndpointDirectory directory,
+      final EndpointTracker tracker,
+      final RetryBudget retryBudget) {
+    return new AttemptPlanner(
+        directory,
+        tracker,
+        new EndpointSelector(tracker, settings.zone(), settings.selector()),
+        retryBudget,
+        mesh,
+        quarantine);
+  }
+
   private static EndpointTracker tracker(
       final GatewaySettings settings,
       final ActivePlan activePlan,
@@ -157,6 +175,10 @@
         "bulrushweir_gateway_plan_version",
         "The version of the plan in force.",
         () -> activePlan.current().map(plan -> (double) plan.version()).orElse(0.0));
+    metrics.gauge(
+        "bulrushweir_gateway_quarantined_segments",
+        "Prompt segments that are kept away from engines because engines crash under them.",
+        quarantine::size);
     metrics.gauge(
         "bulrushweir_gateway_log_lines_dropped", "Log lines that were dropped.", log::dropped);
     metrics.gauge(
@@ -207,9 +229,21 @@
 
   private void expireAndReport() {
     endpointListener.expire();
+    updateQuarantine();
     mesh.sendReport(false);
   }
 
+  private void updateQuarantine() {
+    for (final long segment : quarantine.update(clock.nowMs())) {
+      logger.atWarning().log(
+          "engines crash under prompt segment %s; requests with it are refused",
+          Long.toHexString(segment));
+    }
+    if (quarantine.size() > 0) {
+      core.cancelQuarantined();
+    }
+  }
+
   /**
    * Drains the gateway: reports not ready, completes the requests in flight, and returns when their
    * callers have received all responses or when the grace period is about to end.
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -15,13 +15,14 @@
 import org.bulrushweir.balancing.RetryBudget;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RoutingPlan;
+import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.RowChange;
 import org.bulrushweir.wire.DatagramTransport;
 import org.bulrushweir.wire.generated.RouterReport;
 
 /**
- * Exchanges load and placement reports with the other gateways.
+ * Exchanges reports on load, placements and quarantined prompt segments with the other gateways.
  *
  * <p>Confined to the event loop.
  */
@@ -60,6 +61,7 @@
   private final EndpointTracker tracker;
   private final ActivePlan activePlan;
   private final RetryBudget retryBudget;
+  private final PromptQuarantine quarantine;
   private final EventLoop loop;
   private final long incarnation;
   private DatagramTransport transport;
@@ -76,6 +78,7 @@
    * @param tracker applies peers' reports and supplies this process's own
    * @param activePlan the active routing plan
    * @param retryBudget the retry budget, which is divided by the number of gateways
+   * @param quarantine the prompt segments that are kept away from engines
    * @param loop the event loop
    */
   PeerMesh(
@@ -85,6 +88,7 @@
       final EndpointTracker tracker,
       final ActivePlan activePlan,
       final RetryBudget retryBudget,
+      final PromptQuarantine quarantine,
       final EventLoop loop) {
     this.self = self;
     this.address = address;
@@ -92,6 +96,7 @@
     this.tracker = tracker;
     this.activePlan = activePlan;
     this.retryBudget = retryBudget;
+    this.quarantine = quarantine;
     this.loop = loop;
     this.incarnation = System.nanoTime() ^ clock.nowMs();
   }
@@ -176,6 +181,7 @@
       addOrGet(report.node(), message.getHost(), message.getPort()).lastReportMs = clock.nowMs();
     }
     tracker.applyPeerReport(report, clock.nowMs());
+    quarantine.applyReport(PeerReportCodec.decodeQuarantine(message), clock.nowMs());
     updateGatewayCount();
   }
 
@@ -210,7 +216,9 @@
             tracker.ownLoads(),
             tracker.drainPlacements());
     final byte[] datagram =
-        PeerReportCodec.encode(report, address.host(), address.port(), leaving).toByteArray();
+        PeerReportCodec.encode(
+                report, quarantine.report(lastSentMs), address.host(), address.port(), leaving)
+            .toByteArray();
     final long nowMs = clock.nowMs();
     for (final Peer peer : peers.values()) {
       if (nowMs - peer.lastReportMs <= ACTIVE_PEER_MS
--- a/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
@@ -4,13 +4,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.PeerLoad;
 import org.bulrushweir.balancing.PeerReport;
 import org.bulrushweir.balancing.PromptSegment;
+import org.bulrushweir.quarantine.EndpointCrash;
+import org.bulrushweir.quarantine.EndpointRun;
+import org.bulrushweir.quarantine.QuarantineReport;
+import org.bulrushweir.quarantine.SegmentAge;
 import org.bulrushweir.wire.generated.EndpointLoad;
 import org.bulrushweir.wire.generated.PromptPlacement;
+import org.bulrushweir.wire.generated.ReportedCrash;
+import org.bulrushweir.wire.generated.ReportedSegment;
 import org.bulrushweir.wire.generated.RouterReport;
 
 /** Converts peer reports to and from their Protocol Buffers messages. */
@@ -22,13 +29,18 @@
    * Encodes a report.
    *
    * @param report the report
+   * @param quarantine what peers are told about segments that crash engines
    * @param host the host on which the sender receives reports
    * @param port the port on which the sender receives reports
    * @param leaving whether the sender is about to stop
    * @return the message
    */
   static RouterReport encode(
-      final PeerReport report, final String host, final int port, final boolean leaving) {
+      final PeerReport report,
+      final QuarantineReport quarantine,
+      final String host,
+      final int port,
+      final boolean leaving) {
     final RouterReport.Builder message =
         RouterReport.newBuilder()
             .setNode(report.node().value())
@@ -57,9 +69,51 @@
       }
       message.addPlacements(entry);
     }
+    for (final EndpointCrash crash : quarantine.crashes()) {
+      message.addCrashes(
+          ReportedCrash.newBuilder()
+              .setEndpoint(crash.run().endpoint().value())
+              .setStartedAtMs(crash.run().startedAtMs())
+              .setAgeMs((int) crash.ageMs())
+              .addAllSuspectIds(crash.suspects()));
+    }
+    quarantine.answered().forEach(segment -> message.addAnswered(encode(segment)));
+    quarantine.quarantined().forEach(segment -> message.addQuarantined(encode(segment)));
     return message.build();
   }
 
+  private static ReportedSegment encode(final SegmentAge segment) {
+    return ReportedSegment.newBuilder()
+        .setId(segment.segment())
+        .setAgeMs((int) segment.ageMs())
+        .build();
+  }
+
+  /**
+   * Decodes what a report tells about segments that crash engines.
+   *
+   * @param message the message
+   * @return the report, empty lists if the message tells nothing
+   */
+  static QuarantineReport decodeQuarantine(final RouterReport message) {
+    final List<EndpointCrash> crashes = new ArrayList<>();
+    for (final ReportedCrash crash : message.getCrashesList()) {
+      crashes.add(
+          new EndpointCrash(
+              new EndpointRun(new EndpointId(crash.getEndpoint()), crash.getStartedAtMs()),
+              crash.getAgeMs(),
+              Set.copyOf(crash.getSuspectIdsList())));
+    }
+    return new QuarantineReport(
+        crashes, decode(message.getAnsweredList()), decode(message.getQuarantinedList()));
+  }
+
+  private static List<SegmentAge> decode(final List<ReportedSegment> segments) {
+    return segments.stream()
+        .map(segment -> new SegmentAge(segment.getId(), segment.getAgeMs()))
+        .toList();
+  }
+
   /**
    * Decodes a report.
    *
--- /dev/null
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -0,0 +1,295 @@
+package org.bulrushweir.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.bulrushweir.balancing.PromptSegment;
+
+/**
+ * Decides which prompt segments are kept away from engines because engines crash when they begin to
+ * answer them. It answers the load of a day on which requests with one such segment come at all
+ * gateways, share everything else with sound requests, and would end engine after engine.
+ *
+ * <p>Each crash has suspects: the shared segments of all requests that the engine had just begun to
+ * answer or was about to, as reported by all gateways. A segment is quarantined if it was a suspect
+ * of several crashes and no request with it was answered since. Segments that sound requests use
+ * too are cleared by the answers to these. Crashes that a quarantined segment explains do not count
+ * against their other suspects, and crashes at the same moment count once, since engines that share
+ * a rack or a network end together through no fault of a prompt.
+ *
+ * <p>Not thread-safe; the caller confines it to one thread.
+ */
+public final class PromptQuarantine {
+
+  /** The number of crashes without an answer from which a segment is quarantined. */
+  private static final int MIN_CRASHES = 3;
+
+  /** The number of crashes from which segments that can't be told apart are all quarantined. */
+  private static final int MIN_CRASHES_IF_TIED = 5;
+
+  /** The time within which crashes count as one, in milliseconds. */
+  private static final long SAME_MOMENT_MS = 200;
+
+  /**
+   * The age from which a crash counts, in milliseconds: two report intervals, so that its suspects
+   * at other gateways are known.
+   */
+  private static final long SETTLE_MS = 400;
+
+  /** The time for which a crash counts, in milliseconds. */
+  private static final long EVIDENCE_MS = 300_000;
+
+  /** The time after the last request with a segment for which it stays in quarantine. */
+  private static final long QUARANTINE_MS = 300_000;
+
+  /** The time for which crashes and answers are reported again, in milliseconds. */
+  private static final long REPORTED_MS = 2_000;
+
+  private static final int MAX_CRASHES = 64;
+  private static final int MAX_SUSPECTS = 256;
+  private static final int MAX_ANSWERED = 8_192;
+  private static final int MAX_QUARANTINED = 64;
+  private static final int MAX_REPORTED_CRASHES = 8;
+  private static final int MAX_REPORTED_SUSPECTS = 32;
+  private static final int MAX_REPORTED_ANSWERS = 64;
+
+  private final Map<EndpointRun, Crash> crashes = boundedMap(MAX_CRASHES, false);
+  private final Map<Long, Long> answeredAtMs = boundedMap(MAX_ANSWERED, true);
+  private final Map<Long, Long> quarantinedRequestAtMs = boundedMap(MAX_QUARANTINED, false);
+
+  private static <K, V> Map<K, V> boundedMap(final int capacity, final boolean accessOrder) {
+    return new LinkedHashMap<>(16, 0.75f, accessOrder) {
+      @Override
+      protected boolean removeEldestEntry(final Map.Entry<K, V> eldest) {
+        return size() > capacity;
+      }
+    };
+  }
+
+  /**
+   * Records that this gateway saw an endpoint crash.
+   *
+   * @param run the life of the endpoint that ended
+   * @param prompts the prompts of the requests that it had just begun to answer or was about to
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void recordCrash(
+      final EndpointRun run, final Collection<List<PromptSegment>> prompts, final long nowMs) {
+    final Crash crash = crashes.computeIfAbsent(run, key -> new Crash(nowMs));
+    for (final List<PromptSegment> prompt : prompts) {
+      for (final PromptSegment segment : PromptSegment.shared(prompt)) {
+        crash.addSuspect(segment.id());
+        crash.addOwnSuspect(segment.id());
+      }
+    }
+  }
+
+  /**
+   * Records that a request was answered completely, which clears the segments of its prompt.
+   *
+   * @param prompt the prompt
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void recordAnswer(final List<PromptSegment> prompt, final long nowMs) {
+    for (final PromptSegment segment : PromptSegment.shared(prompt)) {
+      clear(segment.id(), nowMs);
+    }
+  }
+
+  private void clear(final long segment, final long answeredMs) {
+    answeredAtMs.merge(segment, answeredMs, Math::max);
+    quarantinedRequestAtMs.remove(segment);
+  }
+
+  /**
+   * Finds a segment of a prompt that is in quarantine.
+   *
+   * @param prompt the prompt of a request that came or is to be sent
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the id of the segment, empty if the request may be sent to engines
+   */
+  public OptionalLong findQuarantined(final List<PromptSegment> prompt, final long nowMs) {
+    if (quarantinedRequestAtMs.isEmpty()) {
+      return OptionalLong.empty();
+    }
+    for (final PromptSegment segment : PromptSegment.shared(prompt)) {
+      if (quarantinedRequestAtMs.containsKey(segment.id())) {
+        quarantinedRequestAtMs.put(segment.id(), nowMs);
+        return OptionalLong.of(segment.id());
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  /**
+   * Returns the number of segments in quarantine.
+   *
+   * @return the number
+   */
+  public int size() {
+    return quarantinedRequestAtMs.size();
+  }
+
+  /**
+   * Quarantines the segments that explain the crashes, and forgets what is too old.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the ids of the segments that were quarantined by this call, empty if there are none
+   */
+  public List<Long> update(final long nowMs) {
+    crashes.values().removeIf(crash -> nowMs - crash.seenAtMs > EVIDENCE_MS);
+    quarantinedRequestAtMs.values().removeIf(requestMs -> nowMs - requestMs > QUARANTINE_MS);
+    final List<Long> added = new ArrayList<>();
+    Set<Long> found = mostSuspect(nowMs);
+    while (!found.isEmpty()) {
+      for (final long segment : found) {
+        quarantinedRequestAtMs.put(segment, nowMs);
+        added.add(segment);
+      }
+      found = mostSuspect(nowMs);
+    }
+    return added;
+  }
+
+  /** Returns the segments that explain most crashes, empty if the evidence does not suffice. */
+  private Set<Long> mostSuspect(final long nowMs) {
+    final Map<Long, Evidence> evidence = new HashMap<>();
+    for (final Crash crash : unexplainedCrashes(nowMs)) {
+      for (final long segment : crash.suspects) {
+        if (crash.seenAtMs > lastAnswerMs(segment)) {
+          evidence.computeIfAbsent(segment, key -> new Evidence()).add(crash.seenAtMs);
+        }
+      }
+    }
+    int most = MIN_CRASHES;
+    long longestWithoutAnswerSinceMs = Long.MAX_VALUE;
+    final Set<Long> best = new HashSet<>();
+    for (final Map.Entry<Long, Evidence> entry : evidence.entrySet()) {
+      final int count = entry.getValue().crashes;
+      final long answerMs = lastAnswerMs(entry.getKey());
+      if (count > most || count == most && answerMs < longestWithoutAnswerSinceMs) {
+        best.clear();
+        most = count;
+        longestWithoutAnswerSinceMs = answerMs;
+      }
+      if (count == most && answerMs == longestWithoutAnswerSinceMs) {
+        best.add(entry.getKey());
+      }
+    }
+    return best.size() == 1 || most >= MIN_CRASHES_IF_TIED ? best : Set.of();
+  }
+
+  private long lastAnswerMs(final long segment) {
+    return answeredAtMs.getOrDefault(segment, Long.MIN_VALUE);
+  }
+
+  private boolean wasAnsweredRecently(final long segment, final long nowMs) {
+    final Long answerMs = answeredAtMs.get(segment);
+    return answerMs != null && nowMs - answerMs <= REPORTED_MS;
+  }
+
+  /** Returns the settled crashes without a suspect in quarantine, the earliest first. */
+  private List<Crash> unexplainedCrashes(final long nowMs) {
+    return crashes.values().stream()
+        .filter(crash -> nowMs - crash.seenAtMs >= SETTLE_MS)
+        .filter(crash -> crash.suspects.stream().noneMatch(quarantinedRequestAtMs::containsKey))
+        .sorted((one, other) -> Long.compare(one.seenAtMs, other.seenAtMs))
+        .toList();
+  }
+
+  /**
+   * Returns the report to the peers.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return what the peers need to come to the same decisions
+   */
+  public QuarantineReport report(final long nowMs) {
+    final List<EndpointCrash> recent = new ArrayList<>();
+    final Set<Long> suspects = new LinkedHashSet<>(quarantinedRequestAtMs.keySet());
+    crashes.forEach(
+        (run, crash) -> {
+          suspects.addAll(crash.suspects);
+          if (!crash.ownSuspects.isEmpty() && nowMs - crash.seenAtMs <= REPORTED_MS) {
+            recent.add(
+                new EndpointCrash(run, nowMs - crash.seenAtMs, Set.copyOf(crash.ownSuspects)));
+          }
+        });
+    return new QuarantineReport(
+        recent.subList(Math.max(0, recent.size() - MAX_REPORTED_CRASHES), recent.size()),
+        suspects.stream()
+            .filter(segment -> wasAnsweredRecently(segment, nowMs))
+            .limit(MAX_REPORTED_ANSWERS)
+            .map(segment -> new SegmentAge(segment, nowMs - lastAnswerMs(segment)))
+            .toList(),
+        quarantinedRequestAtMs.entrySet().stream()
+            .map(entry -> new SegmentAge(entry.getKey(), nowMs - entry.getValue()))
+            .toList());
+  }
+
+  /**
+   * Applies a peer's report. Applying it again changes nothing.
+   *
+   * @param report the report
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void applyReport(final QuarantineReport report, final long nowMs) {
+    for (final EndpointCrash reported : report.crashes()) {
+      final Crash crash =
+          crashes.computeIfAbsent(
+              reported.run(), run -> new Crash(nowMs - Math.max(0, reported.ageMs())));
+      reported.suspects().forEach(crash::addSuspect);
+    }
+    for (final SegmentAge answered : report.answered()) {
+      clear(answered.segment(), nowMs - Math.max(0, answered.ageMs()));
+    }
+    for (final SegmentAge quarantined : report.quarantined()) {
+      final long requestMs = nowMs - Math.max(0, quarantined.ageMs());
+      if (!wasAnsweredRecently(quarantined.segment(), nowMs)) {
+        quarantinedRequestAtMs.merge(quarantined.segment(), requestMs, Math::max);
+      }
+    }
+  }
+
+  /** A crash and all of its suspects that are known here. */
+  private static final class Crash {
+    private final Set<Long> suspects = new HashSet<>();
+    private final Set<Long> ownSuspects = new HashSet<>();
+    private final long seenAtMs;
+
+    Crash(final long seenAtMs) {
+      this.seenAtMs = seenAtMs;
+    }
+
+    void addSuspect(final long segment) {
+      if (suspects.size() < MAX_SUSPECTS) {
+        suspects.add(segment);
+      }
+    }
+
+    void addOwnSuspect(final long segment) {
+      if (ownSuspects.size() < MAX_REPORTED_SUSPECTS) {
+        ownSuspects.add(segment);
+      }
+    }
+  }
+
+  /** The crashes that speak against a segment; those at the same moment count once. */
+  private static final class Evidence {
+    private int crashes;
+    private long lastMs;
+
+    void add(final long crashMs) {
+      if (crashes == 0 || crashMs - lastMs >= SAME_MOMENT_MS) {
+        crashes++;
+        lastMs = crashMs;
+      }
+    }
+  }
+}
--- a/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
+++ b/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
@@ -28,6 +28,7 @@
     "org.bulrushweir.delivery..",
     "org.bulrushweir.membership..",
     "org.bulrushweir.placement..",
+    "org.bulrushweir.quarantine..",
     "org.bulrushweir.relay..",
     "org.bulrushweir.routing..",
     "org.bulrushweir.runonce..",
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -14,6 +14,7 @@
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.SharedTable;
@@ -31,6 +32,7 @@
     final NodeId node = new NodeId("gateway-1");
     final ActivePlan activePlan = new ActivePlan();
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
+    final PromptQuarantine quarantine = new PromptQuarantine();
     final PeerMesh mesh =
         new PeerMesh(
             node,
@@ -39,6 +41,7 @@
             tracker,
             activePlan,
             retryBudget,
+            quarantine,
             null);
     final EndpointSelector selector =
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
@@ -50,8 +53,9 @@
         clock,
         null,
         activePlan,
-        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh),
+        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh, quarantine),
         null,
+        new CrashDetector(null, quarantine, clock),
         new DrainPolicy(1_000),
         gate,
         new RequestLog(node, clock, activePlan, new GatewayMetrics(), log));
--- /dev/null
+++ b/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,180 @@
+package org.bulrushweir.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.balancing.PromptSegment;
+import org.junit.jupiter.api.Test;
+
+/** Tests which prompt segments are quarantined, and that gateways agree on them. */
+class PromptQuarantineTest {
+
+  private static final long INSTRUCTIONS = 1;
+  private static final long CRASHING = 666;
+  private static final long SETTLED_MS = 1_000;
+
+  private final PromptQuarantine quarantine = new PromptQuarantine();
+  private long lastSegment = 1_000_000;
+  private int runs;
+
+  private List<PromptSegment> prompt(final long... shared) {
+    final List<PromptSegment> prompt = new ArrayList<>();
+    for (final long segment : shared) {
+      prompt.add(new PromptSegment(segment, 500));
+    }
+    prompt.add(new PromptSegment(lastSegment++, 100));
+    return prompt;
+  }
+
+  private EndpointRun nextRun() {
+    runs++;
+    return new EndpointRun(new EndpointId("e" + runs), runs);
+  }
+
+  private boolean isQuarantined(final long segment, final long nowMs) {
+    return quarantine.findQuarantined(prompt(segment), nowMs).equals(OptionalLong.of(segment));
+  }
+
+  private void crash(final long nowMs, final long... shared) {
+    quarantine.recordCrash(nextRun(), List.of(prompt(shared)), nowMs);
+  }
+
+  @Test
+  void segmentOfThreeCrashesWithoutAnswerIsQuarantined() {
+    quarantine.recordAnswer(prompt(INSTRUCTIONS), 0);
+    crash(1_000, INSTRUCTIONS, CRASHING);
+    crash(2_000, INSTRUCTIONS, CRASHING);
+    assertEquals(List.of(), quarantine.update(2_000 + SETTLED_MS));
+    crash(4_000, INSTRUCTIONS, CRASHING);
+    assertEquals(List.of(), quarantine.update(4_000), "peers have not reported yet");
+    assertEquals(List.of(CRASHING), quarantine.update(4_000 + SETTLED_MS));
+    assertTrue(isQuarantined(CRASHING, 6_000));
+    assertFalse(isQuarantined(INSTRUCTIONS, 6_000));
+  }
+
+  @Test
+  void answerClearsSegmentOfSoundRequests() {
+    for (int second = 1; second <= 20; second++) {
+      crash(1_000L * second, INSTRUCTIONS, 100 + second);
+      quarantine.recordAnswer(prompt(INSTRUCTIONS), 1_000L * second + 100);
+      assertEquals(List.of(), quarantine.update(1_000L * second + 500));
+    }
+  }
+
+  @Test
+  void enginesThatEndTogetherCountOnce() {
+    for (int engine = 0; engine < 8; engine++) {
+      crash(1_000 + 10L * engine, INSTRUCTIONS, 100 + engine);
+    }
+    assertEquals(List.of(), quarantine.update(1_100 + SETTLED_MS));
+  }
+
+  @Test
+  void segmentsThatNoAnswerTellsApartWaitForMoreCrashes() {
+    for (int number = 1; number <= 4; number++) {
+      crash(1_000L * number, INSTRUCTIONS, CRASHING);
+    }
+    assertEquals(List.of(), quarantine.update(4_000 + SETTLED_MS));
+    crash(6_000, 7, CRASHING);
+    assertEquals(List.of(CRASHING), quarantine.update(6_000 + SETTLED_MS));
+  }
+
+  @Test
+  void quarantineLastsAsLongAsRequestsCome() {
+    for (int number = 1; number <= 3; number++) {
+      crash(1_000L * number, number, CRASHING);
+    }
+    quarantine.update(5_000);
+    assertTrue(isQuarantined(CRASHING, 200_000));
+    quarantine.update(400_000);
+    assertTrue(isQuarantined(CRASHING, 400_000));
+    quarantine.update(800_000);
+    assertFalse(isQuarantined(CRASHING, 800_000));
+  }
+
+  /**
+   * Twenty gateways see one crash each, with other requests in flight. Each report is delivered to
+   * every other gateway.
+   */
+  @Test
+  void gatewaysThatSeeOneCrashEachAgree() {
+    final List<PromptQuarantine> gateways = new ArrayList<>();
+    for (int number = 0; number < 20; number++) {
+      gateways.add(new PromptQuarantine());
+    }
+    for (int number = 0; number < 5; number++) {
+      final long nowMs = 1_000L * number;
+      final EndpointRun run = nextRun();
+      gateways.get(number).recordCrash(run, List.of(prompt(INSTRUCTIONS, CRASHING)), nowMs);
+      gateways
+          .get(number + 5)
+          .recordCrash(run, List.of(prompt(INSTRUCTIONS, 100 + number)), nowMs + 5);
+      gateways.get(number + 10).recordAnswer(prompt(INSTRUCTIONS, 100 + number), nowMs + 300);
+      exchange(gateways, nowMs + 350);
+      gateways.forEach(gateway -> gateway.update(nowMs + 900));
+    }
+    final Set<Long> found = new TreeSet<>();
+    for (final PromptQuarantine gateway : gateways) {
+      assertEquals(1, gateway.size());
+      gateway.report(5_000).quarantined().forEach(quarantined -> found.add(quarantined.segment()));
+    }
+    assertEquals(Set.of(CRASHING), found);
+  }
+
+  @Test
+  void gatewayThatStartsLearnsTheQuarantineFromItsPeers() {
+    for (int number = 1; number <= 3; number++) {
+      crash(1_000L * number, number, CRASHING);
+    }
+    quarantine.update(5_000);
+    final PromptQuarantine restarted = new PromptQuarantine();
+    restarted.applyReport(quarantine.report(60_000), 60_000);
+    assertTrue(restarted.findQuarantined(prompt(INSTRUCTIONS, CRASHING), 60_000).isPresent());
+  }
+
+  @Test
+  void answerFromAnyGatewayLiftsTheQuarantine() {
+    for (int number = 1; number <= 3; number++) {
+      crash(1_000L * number, number, CRASHING);
+    }
+    quarantine.update(5_000);
+    final PromptQuarantine peer = new PromptQuarantine();
+    peer.applyReport(quarantine.report(5_000), 5_000);
+    peer.recordAnswer(prompt(CRASHING), 5_100);
+    quarantine.applyReport(peer.report(5_200), 5_200);
+    assertFalse(isQuarantined(CRASHING, 5_200));
+  }
+
+  /** All segments of all prompts are different; the engines crash for another reason. */
+  @Test
+  void reportsStaySmall() {
+    for (int number = 0; number < 1_000; number++) {
+      final List<List<PromptSegment>> prompts = new ArrayList<>();
+      for (int request = 0; request < 200; request++) {
+        prompts.add(prompt(1_000L * number + request, 1_000_000L + 1_000L * number + request));
+      }
+      quarantine.recordCrash(nextRun(), prompts, 1);
+    }
+    final QuarantineReport report = quarantine.report(2);
+    assertTrue(report.crashes().size() <= 8);
+    assertTrue(report.crashes().stream().allMatch(crash -> crash.suspects().size() <= 32));
+  }
+
+  private static void exchange(final List<PromptQuarantine> gateways, final long nowMs) {
+    for (final PromptQuarantine from : gateways) {
+      final QuarantineReport report = from.report(nowMs);
+      for (final PromptQuarantine to : gateways) {
+        if (to != from) {
+          to.applyReport(report, nowMs);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushweir/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests which prompt segments are kept away from engines. */
+package org.bulrushweir.quarantine;
