SIGHUP no longer ends a router or a sidecar; signals are handled before anything is served

Cause: replaced the shutdown hook by handlers for SIGTERM and SIGINT; routers and sidecars have none for SIGHUP, whose default ends the process at once, without draining. The gateway's own was registered after "ready", so an early SIGHUP did the same.

Change: ProcessSignals (before: StopSignals) handles all three before the services start; SIGHUP is logged. An Error while the services stop can't keep the process alive any more.

--- a/src/main/java/org/bulrushweir/command/GatewayCommand.java
+++ b/src/main/java/org/bulrushweir/command/GatewayCommand.java
@@ -1,6 +1,5 @@
 package org.bulrushweir.command;
 
-import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,12 +14,10 @@
 import org.bulrushweir.process.DaggerGatewayComponent;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.GatewaySettingsLoader;
-import sun.misc.Signal;
 
 /** Runs a gateway until the process is told to stop. */
 final class GatewayCommand implements Command {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String SETTINGS = "settings";
 
   /** The environment variable with the path of the settings, used without the option. */
@@ -52,13 +49,10 @@
     final AsyncLogWriter log = new AsyncLogWriter(console.out(), AsyncLogWriter.DEFAULT_CAPACITY);
     LogSetup.install(settings.logFormat(), settings.logLevel(), settings.node(), log);
     final Kernel kernel = DaggerGatewayComponent.factory().create(settings, log).kernel();
-    StopSignals.handle(() -> stop(kernel, log));
+    ProcessSignals.handle(() -> stop(kernel, log));
     kernel.start();
     final int port = kernel.find(ServiceNames.GATEWAY, GatewayService.class).callersPort();
     console.out().println("ready " + settings.node() + " port=" + port);
-    Signal.handle(
-        new Signal("HUP"),
-        signal -> logger.atInfo().log("SIGHUP: settings are read at the next start"));
     new CountDownLatch(1).await();
     return ExitCode.OK;
   }
@@ -75,8 +69,11 @@
   }
 
   private static void stop(final Kernel kernel, final AsyncLogWriter log) {
-    kernel.stop();
-    log.close();
-    Runtime.getRuntime().halt(ExitCode.OK.number());
+    try {
+      kernel.stop();
+      log.close();
+    } finally {
+      Runtime.getRuntime().halt(ExitCode.OK.number());
+    }
   }
 }
--- a/src/main/java/org/bulrushweir/command/ProcessCommand.java
+++ b/src/main/java/org/bulrushweir/command/ProcessCommand.java
@@ -85,7 +85,7 @@
     final ProcessSettings settings = settingsReader.read(file.toString(), Files.readString(file));
     LogSetup.install(settings.logFormat(), settings.logLevel(), settings.node());
     final Kernel kernel = builder.apply(settings);
-    StopSignals.handle(() -> stop(kernel));
+    ProcessSignals.handle(() -> stop(kernel));
     kernel.start();
     final int peerPort = kernel.find(ServiceNames.PEERS, PeerService.class).port();
     console.out().println("ready " + settings.node() + " peer_port=" + peerPort);
@@ -94,8 +94,11 @@
   }
 
   private static void stop(final Kernel kernel) {
-    kernel.stop();
-    Runtime.getRuntime().halt(ExitCode.OK.number());
+    try {
+      kernel.stop();
+    } finally {
+      Runtime.getRuntime().halt(ExitCode.OK.number());
+    }
   }
 
   /** Reads the settings of a kind of process. */
