Connections of callers that never read are closed after the idle timeout

Cause: since an idle connection is closed after its last response was sent, and the timer that would have closed it otherwise ended there, so a caller that never reads kept it open.

Change: the timer goes on; a connection whose last response is not taken within the idle timeout is closed.

Test: CallerHandlerTest.connectionOfCallerThatNeverReads… (idle timeout 15 s, still open after 40 s before).

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -355,11 +355,8 @@
               && nowMs - headTimer.headStartedMs() >= limits.headerTimeoutMs();
       if (slowHead || request != null && idle) {
         refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
-        return;
-      }
-      if (idle) {
+      } else if (idle) {
         closeAfterSending();
-        return;
       }
     }
     scheduleTimer();
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.junit.jupiter.api.Test;
@@ -19,9 +21,14 @@
 /** Tests when the connection of a caller is closed. */
 class CallerHandlerTest {
 
+  private static final long LIMIT_MS = 40_000;
+  private static final long STEP_MS = 1_000;
+
+  private final AtomicLong now = new AtomicLong();
   private final EndpointDirectory directory = new EndpointDirectory();
   private final GatewayCore core =
-      GatewayCoreFixture.create(directory, new EndpointTracker(directory, service -> 0, 1));
+      GatewayCoreFixture.create(
+          directory, new EndpointTracker(directory, service -> 0, 1), now::get);
   private final CallerHandler handler = new CallerHandler(core, new RequestHeadTimer(core::nowMs));
   private final SlowCaller slowCaller = new SlowCaller();
 
@@ -38,6 +45,20 @@
     assertFalse(channel.isOpen());
   }
 
+  @Test
+  void connectionOfCallerThatNeverReadsIsClosedAfterTheIdleTimeout() {
+    final EmbeddedChannel channel = new EmbeddedChannel(slowCaller, handler);
+    channel.writeInbound(
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host"));
+    for (long atMs = 0; atMs < LIMIT_MS; atMs += STEP_MS) {
+      now.set(atMs);
+      channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+      channel.runPendingTasks();
+    }
+    assertFalse(channel.isOpen());
+  }
+
   /** Holds what is written until the caller reads. */
   private static final class SlowCaller extends ChannelOutboundHandlerAdapter {
     private Runnable pendingWrites = () -> {};
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -26,9 +26,14 @@
 
   private GatewayCoreFixture() {}
 
-  /** Creates the core, with an open start gate. */
+  /** Creates the core, with an open start gate, at a time that stands still. */
   static GatewayCore create(final EndpointDirectory directory, final EndpointTracker tracker) {
-    final Clock clock = () -> 0;
+    return create(directory, tracker, () -> 0);
+  }
+
+  /** Creates the core, with an open start gate. */
+  static GatewayCore create(
+      final EndpointDirectory directory, final EndpointTracker tracker, final Clock clock) {
     final NodeId node = new NodeId("gateway-1");
     final ActivePlan activePlan = new ActivePlan();
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
