A pipelined request is answered before its connection is closed as idle

Cause: between the end of a response and the task that takes the next pipelined request a connection looks idle, and a draining gateway closed it, though the request had been read.

Change: a connection with queued requests is not idle. Test: CallerHandlerTest.pipelinedRequest… (one response of two before).

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -301,9 +301,10 @@
     failed.close();
   }
 
-  /** Closes the connection if no request is being received or answered. */
+  /** Closes the connection if no request is being received, waits or is being answered. */
   void closeIfIdle() {
-    if (!responding && !discarding && request == null && !headTimer.isHeadIncomplete()) {
+    final boolean receiving = request != null || headTimer.isHeadIncomplete();
+    if (!responding && !discarding && !receiving && queued.isEmpty()) {
       closeAfterSending();
     }
   }
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -12,10 +12,12 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.EnumSet;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.store.SharedTable;
 import org.junit.jupiter.api.Test;
 
 /** Tests when the connection of a caller is closed. */
@@ -35,8 +37,7 @@
   @Test
   void idleConnectionIsClosedOnlyAfterItsLastResponseWasSent() {
     final EmbeddedChannel channel = new EmbeddedChannel(slowCaller, handler);
-    channel.writeInbound(
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host"));
+    channel.writeInbound(request());
     handler.closeIfIdle();
     assertTrue(channel.isOpen(), "closed before the response was sent");
     slowCaller.read();
@@ -45,11 +46,36 @@
     assertFalse(channel.isOpen());
   }
 
+  @Test
+  void pipelinedRequestIsAnsweredBeforeAnIdleConnectionIsClosed() {
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
+    final CallerHandler pipelined =
+        new CallerHandler(
+            GatewayCoreFixture.create(directory, tracker, now::get, gate),
+            new RequestHeadTimer(now::get));
+    final EmbeddedChannel channel = new EmbeddedChannel(pipelined);
+    channel.writeInbound(request(), request());
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              GatewayCoreFixture.open(gate, directory);
+              pipelined.closeIfIdle();
+            });
+    channel.runPendingTasks();
+    assertEquals(
+        2, channel.outboundMessages().stream().filter(HttpResponse.class::isInstance).count());
+  }
+
+  private static DefaultFullHttpRequest request() {
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host");
+  }
+
   @Test
   void connectionOfCallerThatNeverReadsIsClosedAfterTheIdleTimeout() {
     final EmbeddedChannel channel = new EmbeddedChannel(slowCaller, handler);
-    channel.writeInbound(
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host"));
+    channel.writeInbound(request());
     for (long atMs = 0; atMs < LIMIT_MS; atMs += STEP_MS) {
       now.set(atMs);
       channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -26,6 +26,11 @@
 
   private GatewayCoreFixture() {}
 
+  /** Opens a gate that waits for the table of endpoints. */
+  static void open(final StartGate gate, final EndpointDirectory directory) {
+    gate.wrap(SharedTable.ENDPOINTS, new EndpointListener(directory, () -> 0)).onUnreachable(0);
+  }
+
   /** Creates the core, with an open start gate, at a time that stands still. */
   static GatewayCore create(final EndpointDirectory directory, final EndpointTracker tracker) {
     return create(directory, tracker, () -> 0);
@@ -34,6 +39,17 @@
   /** Creates the core, with an open start gate. */
   static GatewayCore create(
       final EndpointDirectory directory, final EndpointTracker tracker, final Clock clock) {
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    open(gate, directory);
+    return create(directory, tracker, clock, gate);
+  }
+
+  /** Creates the core with a start gate. */
+  static GatewayCore create(
+      final EndpointDirectory directory,
+      final EndpointTracker tracker,
+      final Clock clock,
+      final StartGate gate) {
     final NodeId node = new NodeId("gateway-1");
     final ActivePlan activePlan = new ActivePlan();
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
@@ -52,8 +68,6 @@
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
     final AsyncLogWriter log =
         new AsyncLogWriter(new PrintStream(OutputStream.nullOutputStream()), 10);
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    gate.wrap(SharedTable.ENDPOINTS, new EndpointListener(directory, clock)).onUnreachable(0);
     return new GatewayCore(
         clock,
         null,
