At the exit, requests that are not at an endpoint are refused as not run

Cause: at the exit of a draining gateway only new requests were refused. One that still waited for its engine or for a connection, or at the start gate, was cut off with the process, and a repeat could still be sent to an endpoint that nobody would hear.

Change: in the task that starts the exit the start gate opens, attempts that have not been sent end as not sent (503 if nothing of the request can have run, else 502), and no endpoint is chosen any more.

GatewayDrainTest now asks that the early stream is served whole; a refusal passed before.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -316,6 +316,13 @@
     context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** Ends the request if it is not at an endpoint. */
+  void endUnsent() {
+    if (exchange != null) {
+      exchange.endUnsent();
+    }
+  }
+
   /** Ends the current attempt of the request if its endpoint would crash when it responds. */
   void cancelIfQuarantined() {
     if (exchange != null) {
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -160,7 +160,7 @@
 
   @Override
   public Optional<EndpointId> next(final Set<EndpointId> excluded, final long nowMs) {
-    return core.planner().choose(routed, excluded, nowMs);
+    return core.isExiting() ? Optional.empty() : core.planner().choose(routed, excluded, nowMs);
   }
 
   @Override
@@ -258,6 +258,13 @@
         responseStartMs);
   }
 
+  /** Ends the current attempt if it has not been sent. */
+  void endUnsent() {
+    if (currentAttempt != null) {
+      currentAttempt.endUnsent();
+    }
+  }
+
   /** Ends the current attempt if its endpoint would crash when it responds. */
   void cancelIfQuarantined() {
     if (currentAttempt != null) {
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -167,6 +167,14 @@
     owner.writeRequest(this, acquired);
   }
 
+  /** Ends the attempt if it has not been sent: nothing of the request reaches the endpoint. */
+  void endUnsent() {
+    if (!finished && connection == null) {
+      finish(AttemptOutcome.ABANDONED);
+      owner.handle(new RelayEvent.NotSent(id, "the process stops"));
+    }
+  }
+
   private boolean isQuarantined() {
     return core.planner().findQuarantined(routed.head().prompt(), core.nowMs()).isPresent();
   }
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -169,11 +169,18 @@
   }
 
   /**
-   * Refuses all requests from now on: the process is about to exit and waits for none of them. Must
-   * run in the same task as the check that nothing is in flight.
+   * Refuses all requests from now on, and those that have not been sent to an endpoint: the process
+   * is about to exit and waits for none of them. Must run in the same task as the check that
+   * nothing is in flight.
    */
   void startExit() {
     exiting = true;
+    gate.open();
+    List.copyOf(connections).forEach(CallerHandler::endUnsent);
+  }
+
+  boolean isExiting() {
+    return exiting;
   }
 
   /** Closes the connections of callers that have no request in progress. */
@@ -229,7 +236,7 @@
    * @param body the request body, empty if there is none
    */
   void serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
-    if (gate.isClosed() && !exiting) {
+    if (gate.isClosed()) {
       gate.delay(() -> serveUnlessClosed(caller, request, body));
       return;
     }
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -63,7 +63,8 @@
     }
   }
 
-  private void open() {
+  /** Opens the gate and runs the delayed requests. */
+  void open() {
     closed = false;
     final List<Runnable> requests = List.copyOf(delayed);
     delayed.clear();
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.ChannelHandlerContext;
@@ -68,6 +70,20 @@
         2, channel.outboundMessages().stream().filter(HttpResponse.class::isInstance).count());
   }
 
+  @Test
+  void requestDelayedAtTheStartIsRefusedAtTheExit() {
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
+    final GatewayCore starting = GatewayCoreFixture.create(directory, tracker, now::get, gate);
+    final EmbeddedChannel channel =
+        new EmbeddedChannel(new CallerHandler(starting, new RequestHeadTimer(now::get)));
+    channel.writeInbound(request());
+    assertNull(channel.readOutbound());
+    starting.startDraining();
+    starting.startExit();
+    assertNotNull(channel.readOutbound());
+  }
+
   private static DefaultFullHttpRequest request() {
     return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host");
   }
--- a/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
@@ -90,6 +90,24 @@
     };
   }
 
+  @Test
+  void attemptThatIsNotSentAtTheExitEndsAsNotSent() {
+    directory.put(new EndpointRecord(ENDPOINT, ORDERS, "127.0.0.1", 9, ZONE, 6, false, 0));
+    final ExchangeAttempt attempt =
+        new ExchangeAttempt(
+            GatewayCoreFixture.create(directory, tracker),
+            routedRequest(),
+            null,
+            new EventStreamFramer(-1),
+            owner(),
+            new AttemptId(1),
+            ENDPOINT);
+    attempt.endUnsent();
+    attempt.endUnsent();
+    assertEquals(0, tracker.inFlight(ENDPOINT, 0));
+    assertEquals(List.of(new RelayEvent.NotSent(new AttemptId(1), "the process stops")), events);
+  }
+
   @Test
   void attemptAbandonedWhileConnectingIsRemovedFromLoadOnce() {
     directory.put(new EndpointRecord(ENDPOINT, ORDERS, "127.0.0.1", 9, ZONE, 6, false, 0));
--- a/src/test/java/org/bulrushweir/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayDrainTest.java
@@ -87,7 +87,8 @@
     final CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> fleet.stopGateway(0));
     Thread.sleep(3_000);
     final CompletableFuture<String> late = sendReview("r2");
-    assertNotCutOff(early.get(GRACE_MS, TimeUnit.MILLISECONDS));
+    final String earlyResponse = early.get(GRACE_MS, TimeUnit.MILLISECONDS);
+    assertTrue(earlyResponse.contains(LAST_EVENT), earlyResponse);
     assertNotCutOff(late.get(GRACE_MS, TimeUnit.MILLISECONDS));
     stop.get(GRACE_MS, TimeUnit.MILLISECONDS);
   }
