Quarantine: a segment must explain most of the crashes since it became a suspect

Cause: three crashes without an answer are little evidence where dozens of engines end: some documents are in flight at three of them by chance.

Change: a segment is quarantined only if it was a suspect of at least half of the unexplained crashes since the first one with it; evidence counts for 60 s instead of 300 s. One that crashes engines is a suspect of nearly all of them.

Tests: enginesThatEndForAnotherReasonQuarantineNothing failed before ([316, 350, 373, 376, 393] quarantined); segmentIsFoundWhileOtherEnginesEndForAnotherReason; CrashingPromptTest passes as before.

--- a/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -19,10 +19,11 @@
  *
  * <p>Each crash has suspects: the shared segments of all requests that the engine had just begun to
  * answer or was about to, as reported by all gateways. A segment is quarantined if it was a suspect
- * of several crashes and no request with it was answered since. Segments that sound requests use
- * too are cleared by the answers to these. Crashes that a quarantined segment explains do not count
- * against their other suspects, and crashes at the same moment count once, since engines that share
- * a rack or a network end together through no fault of a prompt.
+ * of several crashes, and of most since the first of them, and if no request with it was answered
+ * since. Segments that sound requests use too are cleared by the answers to these. Crashes that a
+ * quarantined segment explains do not count against their other suspects, and crashes at the same
+ * moment count once, since engines that share a rack or a network end together through no fault of
+ * a prompt.
  *
  * <p>Not thread-safe; the caller confines it to one thread.
  */
@@ -31,6 +32,12 @@
   /** The number of crashes without an answer from which a segment is quarantined. */
   private static final int MIN_CRASHES = 3;
 
+  /**
+   * The share of the crashes since the first one with a segment that must have it as a suspect. If
+   * engines end for another reason, each segment is a suspect of a few of many crashes.
+   */
+  private static final double MIN_EXPLAINED_SHARE = 0.5;
+
   /** The number of crashes from which segments that can't be told apart are all quarantined. */
   private static final int MIN_CRASHES_IF_TIED = 5;
 
@@ -44,7 +51,7 @@
   private static final long SETTLE_MS = 400;
 
   /** The time for which a crash counts, in milliseconds. */
-  private static final long EVIDENCE_MS = 300_000;
+  private static final long EVIDENCE_MS = 60_000;
 
   /** The time after the last request with a segment for which it stays in quarantine. */
   private static final long QUARANTINE_MS = 300_000;
@@ -160,32 +167,44 @@
 
   /** Returns the segments that explain most crashes, empty if the evidence does not suffice. */
   private Set<Long> mostSuspect(final long nowMs) {
-    final Map<Long, Evidence> evidence = new HashMap<>();
-    for (final Crash crash : unexplainedCrashes(nowMs)) {
-      for (final long segment : crash.suspects) {
-        if (crash.seenAtMs > lastAnswerMs(segment)) {
-          evidence.computeIfAbsent(segment, key -> new Evidence()).add(crash.seenAtMs);
-        }
-      }
-    }
     int most = MIN_CRASHES;
-    long longestWithoutAnswerSinceMs = Long.MAX_VALUE;
+    long bestAnswerMs = Long.MAX_VALUE;
     final Set<Long> best = new HashSet<>();
-    for (final Map.Entry<Long, Evidence> entry : evidence.entrySet()) {
-      final int count = entry.getValue().crashes;
+    for (final Map.Entry<Long, Evidence> entry : evidence(nowMs).entrySet()) {
+      final int count = entry.getValue().moments;
       final long answerMs = lastAnswerMs(entry.getKey());
-      if (count > most || count == most && answerMs < longestWithoutAnswerSinceMs) {
+      if (!entry.getValue().explainsEnough()) {
+        continue;
+      }
+      if (count > most || count == most && answerMs < bestAnswerMs) {
         best.clear();
         most = count;
-        longestWithoutAnswerSinceMs = answerMs;
+        bestAnswerMs = answerMs;
       }
-      if (count == most && answerMs == longestWithoutAnswerSinceMs) {
+      if (count == most && answerMs == bestAnswerMs) {
         best.add(entry.getKey());
       }
     }
     return best.size() == 1 || most >= MIN_CRASHES_IF_TIED ? best : Set.of();
   }
 
+  private Map<Long, Evidence> evidence(final long nowMs) {
+    final Map<Long, Evidence> evidence = new HashMap<>();
+    for (final Crash crash : unexplainedCrashes(nowMs)) {
+      for (final long segment : crash.suspects) {
+        if (crash.seenAtMs > lastAnswerMs(segment)) {
+          evidence.computeIfAbsent(segment, key -> new Evidence());
+        }
+      }
+      evidence.forEach(
+          (segment, found) ->
+              found.add(
+                  crash.seenAtMs,
+                  crash.suspects.contains(segment) && crash.seenAtMs > lastAnswerMs(segment)));
+    }
+    return evidence;
+  }
+
   private long lastAnswerMs(final long segment) {
     return answeredAtMs.getOrDefault(segment, Long.MIN_VALUE);
   }
@@ -280,16 +299,27 @@
     }
   }
 
-  /** The crashes that speak against a segment; those at the same moment count once. */
+  /** The crashes since the first one that speaks against a segment. */
   private static final class Evidence {
     private int crashes;
-    private long lastMs;
+    private int explained;
+    private int moments;
+    private long lastMomentMs;
 
-    void add(final long crashMs) {
-      if (crashes == 0 || crashMs - lastMs >= SAME_MOMENT_MS) {
-        crashes++;
-        lastMs = crashMs;
+    void add(final long crashMs, final boolean isSuspect) {
+      crashes++;
+      if (!isSuspect) {
+        return;
+      }
+      explained++;
+      if (moments == 0 || crashMs - lastMomentMs >= SAME_MOMENT_MS) {
+        moments++;
+        lastMomentMs = crashMs;
       }
     }
+
+    boolean explainsEnough() {
+      return moments >= MIN_CRASHES && explained >= MIN_EXPLAINED_SHARE * crashes;
+    }
   }
 }
--- a/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import org.bulrushweir.api.EndpointId;
@@ -21,6 +22,7 @@
   private static final long SETTLED_MS = 1_000;
 
   private final PromptQuarantine quarantine = new PromptQuarantine();
+  private final Random random = new Random(26);
   private long lastSegment = 1_000_000;
   private int runs;
 
@@ -76,6 +78,48 @@
     assertEquals(List.of(), quarantine.update(1_100 + SETTLED_MS));
   }
 
+  /**
+   * Many engines end together, again and again, while requests for 300 documents come that were
+   * answered before and are not answered meanwhile.
+   */
+  @Test
+  void enginesThatEndForAnotherReasonQuarantineNothing() {
+    for (int document = 0; document < 300; document++) {
+      quarantine.recordAnswer(prompt(100 + document), document);
+    }
+    for (int moment = 1; moment <= 6; moment++) {
+      final long nowMs = 2_000L * moment;
+      crashWithRandomDocuments(13, nowMs);
+      quarantine.recordAnswer(prompt(INSTRUCTIONS), nowMs + 300);
+      assertEquals(List.of(), quarantine.update(nowMs + SETTLED_MS));
+    }
+  }
+
+  @Test
+  void segmentIsFoundWhileOtherEnginesEndForAnotherReason() {
+    final List<Long> found = new ArrayList<>();
+    for (int second = 1; second <= 20; second++) {
+      final long nowMs = 1_000L * second;
+      if (second % 4 == 0) {
+        crashWithRandomDocuments(3, nowMs);
+      }
+      crash(nowMs + 500, INSTRUCTIONS, CRASHING);
+      quarantine.recordAnswer(prompt(INSTRUCTIONS), nowMs + 600);
+      found.addAll(quarantine.update(nowMs + 950));
+    }
+    assertEquals(List.of(CRASHING), found);
+  }
+
+  private void crashWithRandomDocuments(final int engines, final long nowMs) {
+    for (int engine = 0; engine < engines; engine++) {
+      final List<List<PromptSegment>> prompts = new ArrayList<>();
+      for (int request = 0; request < 5; request++) {
+        prompts.add(prompt(INSTRUCTIONS, 100 + random.nextInt(300)));
+      }
+      quarantine.recordCrash(nextRun(), prompts, nowMs + engine);
+    }
+  }
+
   @Test
   void segmentsThatNoAnswerTellsApartWaitForMoreCrashes() {
     for (int number = 1; number <= 4; number++) {
