The connection that shows whether an endpoint has ended is closed again

Traced, not load: since a broken attempt at the start of a response opens a connection to see whether the endpoint has ended, and left it open as an idle one, here to an endpoint that had just sent bytes without end.

Change: it is closed at once. EndlessBytesTest, unchanged, passes again, CrashingPromptTest and GatewayTest too.

--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -88,8 +88,7 @@
   }
 
   /**
-   * Finds out whether an endpoint's process has ended, by opening a connection. A connection that
-   * opens becomes an idle one.
+   * Finds out whether an endpoint's process has ended, by opening and closing a connection.
    *
    * @param endpoint the endpoint
    * @param onResult receives true if the connection was refused, false if it was opened or if the
@@ -99,7 +98,7 @@
     open(
         endpoint,
         connection -> {
-          release(connection);
+          connection.close();
           onResult.accept(false);
         },
         cause ->
