CrashingPromptTest: sound requests are counted also if fewer than five engines crash

Seen on the last reading: with the fix the segment is quarantined after three crashes, so the fifth one may never come, no sound request was counted, and that check could not fail. It now counts from the fifth crash or, if there are fewer, from the last one, as the users state it, and asks that some are counted.

--- a/src/test/java/org/bulrushweir/gateway/CrashingPromptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CrashingPromptTest.java
@@ -58,13 +58,14 @@
     engines.forEach(CrashingEngine::close);
   }
 
-  private long fifthCrashMs() {
+  /** Returns the time of the fifth crash, or of the last one if there are fewer. */
+  private long decisiveCrashMs() {
     final List<Long> crashes = new ArrayList<>();
     engines.forEach(engine -> crashes.addAll(engine.crashes()));
     crashes.sort(null);
-    return crashes.size() < KNOWN_AFTER_CRASHES
+    return crashes.isEmpty()
         ? Long.MAX_VALUE - CONTACT_MS
-        : crashes.get(KNOWN_AFTER_CRASHES - 1);
+        : crashes.get(Math.min(KNOWN_AFTER_CRASHES, crashes.size()) - 1);
   }
 
   private void send(final int number, final int chat, final AtomicInteger served) {
@@ -89,20 +90,21 @@
       if (number % CRASHING_REQUEST_EVERY == 0) {
         send(number, CRASHING_CHAT, new AtomicInteger());
       } else {
-        final boolean counted = System.currentTimeMillis() > fifthCrashMs() + CONTACT_MS;
+        final boolean counted = System.currentTimeMillis() > decisiveCrashMs() + CONTACT_MS;
         soundSent += counted ? 1 : 0;
         send(number, number % 20, counted ? soundServed : new AtomicInteger());
       }
       Thread.sleep(PAUSE_MS);
     }
     Thread.sleep(500);
-    final long knownMs = fifthCrashMs() + CONTACT_MS;
+    final long knownMs = decisiveCrashMs() + CONTACT_MS;
     final long late =
         engines.stream()
             .flatMap(engine -> engine.arrivals().stream())
             .filter(arrivedMs -> arrivedMs > knownMs)
             .count();
     assertTrue(late <= MAX_LATE_ARRIVALS, late + " requests with the segment were sent late");
+    assertTrue(soundSent > 0, "no sound request was sent late enough to count");
     assertTrue(
         soundServed.get() >= MIN_SOUND_SHARE * soundSent,
         soundServed + " of " + soundSent + " sound requests were served");
