Request lines tell how a response was framed and whether it ended inside an event

Request lines now have "framing" and "inside_event". The scan for ends of events is a class of its own, used by the framer of resumable streams too, which no longer scans its buffer from the start for each piece; an extra empty line after an event no longer counts as the start of one. No decision on answers changed.

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -160,7 +160,7 @@
                 || HttpUtil.isTransferEncodingChunked(response));
     ResponseTranslator.idleTimeoutMs(response)
         .ifPresent(ms -> idleLimitMs = (long) (KEEP_ALIVE_TIMEOUT_SHARE * ms));
-    listener.onHead(response);
+    listener.onHead(response, decoder.framing(response));
   }
 
   private void handleContent(final HttpContent content) {
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -3,7 +3,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 
 /** Decodes endpoints' responses; a response to a HEAD request has no body. */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
@@ -29,6 +31,23 @@
     method = requested;
   }
 
+  /**
+   * Returns by what the end of a response's body is recognised.
+   *
+   * @param response the head of the response to the current request
+   */
+  ResponseFraming framing(final HttpResponse response) {
+    if (isContentAlwaysEmpty(response)) {
+      return ResponseFraming.LENGTH;
+    }
+    if (HttpUtil.isTransferEncodingChunked(response)) {
+      return ResponseFraming.CHUNKED;
+    }
+    return HttpUtil.isContentLengthSet(response)
+        ? ResponseFraming.LENGTH
+        : ResponseFraming.CONNECTION;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(final HttpMessage message) {
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -13,6 +13,7 @@
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.AttemptId;
+import org.bulrushweir.relay.EventBoundaryScanner;
 import org.bulrushweir.relay.EventStreamFramer;
 import org.bulrushweir.relay.RelayEvent;
 import org.bulrushweir.relay.ResponseHead;
@@ -45,6 +46,7 @@
   private final RoutedRequest routed;
   private final CallerConnection caller;
   private final EventStreamFramer framer;
+  private final EventBoundaryScanner scanner = new EventBoundaryScanner();
   private final AttemptOwner owner;
   private final AttemptId id;
   private final EndpointId endpoint;
@@ -55,6 +57,7 @@
   private EndpointConnection connection;
   private HttpResponse response;
   private ResponseHead head;
+  private Optional<ResponseFraming> framing = Optional.empty();
   private ByteBuf buffered;
   private OptionalLong responseStartMs = OptionalLong.empty();
   private boolean prefillRecorded;
@@ -119,6 +122,20 @@
     return response;
   }
 
+  /**
+   * Returns by what the end of the response is recognised.
+   *
+   * @return the framing, empty before the head of the response has arrived
+   */
+  Optional<ResponseFraming> framing() {
+    return framing;
+  }
+
+  /** Returns whether the part of a stream that has arrived ends inside an event. */
+  boolean isInsideEvent() {
+    return routed.forwardsCompleteEvents() ? !framer.isAtEventBoundary() : scanner.isInsideEvent();
+  }
+
   boolean isFinished() {
     return finished;
   }
@@ -278,8 +295,9 @@
   }
 
   @Override
-  public void onHead(final HttpResponse received) {
+  public void onHead(final HttpResponse received, final ResponseFraming receivedFraming) {
     response = received;
+    framing = Optional.of(receivedFraming);
     responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
     if (routed.buffersResponse() && !head.notRun()) {
@@ -316,6 +334,7 @@
       return;
     }
     if (!routed.forwardsCompleteEvents() || !head.success()) {
+      scan(part);
       caller.write(part);
     } else {
       final byte[] events = framer.feed(ByteBufUtil.getBytes(part));
@@ -334,6 +353,16 @@
     }
   }
 
+  private void scan(final ByteBuf part) {
+    if (routed.isStream() && head.success()) {
+      part.forEachByte(
+          value -> {
+            scanner.accept(value);
+            return true;
+          });
+    }
+  }
+
   /**
    * Forwards the buffered response. Returns false if it must not be forwarded, since the attempt
    * has ended or the head was rejected.
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -119,7 +119,14 @@
         Optional.of(placement),
         PromptSegment.shared(routed.head().prompt()),
         new RequestLogEntry.Result(
-            0, 0, firstMs, clock.nowMs() - routed.arrivedMs(), result, detail));
+            0,
+            Optional.empty(),
+            false,
+            0,
+            firstMs,
+            clock.nowMs() - routed.arrivedMs(),
+            result,
+            detail));
   }
 
   /**
@@ -144,6 +151,8 @@
         result.placement(),
         new RequestLogEntry.Result(
             result.status(),
+            result.framing(),
+            result.insideEvent(),
             result.attempts(),
             firstMs,
             totalMs,
@@ -152,7 +161,8 @@
   }
 
   private static RequestLogEntry.Result withoutResponse(final String outcome, final String detail) {
-    return new RequestLogEntry.Result(0, 0, NOT_STARTED, 0, outcome, detail);
+    return new RequestLogEntry.Result(
+        0, Optional.empty(), false, 0, NOT_STARTED, 0, outcome, detail);
   }
 
   private void offer(
--- a/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.bulrushweir.api.EndpointId;
@@ -47,6 +48,8 @@
    * The result of a request or of one attempt.
    *
    * @param status the status of the endpoint's response, zero without one
+   * @param framing by what the end of the response is recognised, empty without one
+   * @param insideEvent whether the response is a stream that ended inside an event
    * @param attempts the number of attempts of a finished request, otherwise zero
    * @param firstMs the time from the request to the start of the response, in milliseconds,
    *     negative if it did not start
@@ -55,7 +58,14 @@
    * @param detail the cause of a failure, empty if there is none
    */
   record Result(
-      int status, int attempts, long firstMs, long totalMs, String outcome, String detail) {}
+      int status,
+      Optional<ResponseFraming> framing,
+      boolean insideEvent,
+      int attempts,
+      long firstMs,
+      long totalMs,
+      String outcome,
+      String detail) {}
 
   @Override
   public String text() {
@@ -104,6 +114,12 @@
 
   private void writeResult(final JsonGenerator json) throws IOException {
     json.writeNumberField("status", result.status());
+    if (result.framing().isPresent()) {
+      json.writeStringField("framing", result.framing().get().name().toLowerCase(Locale.ROOT));
+    }
+    if (result.insideEvent()) {
+      json.writeBooleanField("inside_event", true);
+    }
     json.writeNumberField("attempts", result.attempts());
     json.writeNumberField("first_ms", result.firstMs());
     json.writeNumberField("total_ms", result.totalMs());
--- a/src/main/java/org/bulrushweir/gateway/ResponseListener.java
+++ b/src/main/java/org/bulrushweir/gateway/ResponseListener.java
@@ -10,8 +10,9 @@
    * Handles the status line and headers.
    *
    * @param response the head of the response
+   * @param framing by what the end of the body is recognised
    */
-  void onHead(HttpResponse response);
+  void onHead(HttpResponse response, ResponseFraming framing);
 
   /**
    * Handles a part of the body.
--- a/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
+++ b/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
@@ -38,13 +38,22 @@
    */
   private static final long UNSAFE_MAX_IDLE_MS = 1_000;
 
+  /**
+   * Returns whether the response is a stream of events.
+   *
+   * @return false if it is a whole
+   */
+  boolean isStream() {
+    return route.kind() == RequestKind.STREAM;
+  }
+
   /**
    * Returns whether the response is buffered until it is complete.
    *
    * @return true for all kinds of requests except streams
    */
   boolean buffersResponse() {
-    return route.kind() != RequestKind.STREAM;
+    return !isStream();
   }
 
   /**
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -13,10 +13,9 @@
   /** The largest event that is buffered until it is complete, in bytes. */
   public static final int MAX_EVENT_BYTES = 262_144;
 
-  private static final byte NEWLINE = '\n';
-  private static final byte CARRIAGE_RETURN = '\r';
   private static final String ID_FIELD = "id:";
 
+  private final EventBoundaryScanner scanner = new EventBoundaryScanner();
   private byte[] buffer = new byte[1_024];
   private int length;
   private long lastEventId;
@@ -41,18 +40,21 @@
   public byte[] feed(final byte[] bytes) {
     ensureCapacity(bytes.length);
     System.arraycopy(bytes, 0, buffer, length, bytes.length);
+    final int scanStart = length;
     length += bytes.length;
     final byte[] complete = new byte[length];
     int completeLength = 0;
     int start = 0;
-    int end = eventEnd(start);
-    while (end >= 0) {
+    for (int index = scanStart; index < length; index++) {
+      if (!scanner.accept(buffer[index])) {
+        continue;
+      }
+      final int end = index + 1;
       if (isNew(start, end)) {
         System.arraycopy(buffer, start, complete, completeLength, end - start);
         completeLength += end - start;
       }
       start = end;
-      end = eventEnd(start);
     }
     System.arraycopy(buffer, start, buffer, 0, length - start);
     length -= start;
@@ -65,26 +67,6 @@
     }
   }
 
-  /**
-   * Returns the end index of the event that starts at an index, negative if the event is
-   * incomplete.
-   */
-  private int eventEnd(final int start) {
-    boolean lineIsEmpty = true;
-    for (int index = start; index < length; index++) {
-      final byte value = buffer[index];
-      if (value == NEWLINE) {
-        if (lineIsEmpty && index > start) {
-          return index + 1;
-        }
-        lineIsEmpty = true;
-      } else if (value != CARRIAGE_RETURN) {
-        lineIsEmpty = false;
-      }
-    }
-    return -1;
-  }
-
   private boolean isNew(final int start, final int end) {
     final String event = new String(buffer, start, end - start, StandardCharsets.UTF_8);
     for (final String line : event.split("\r?\n")) {
@@ -110,6 +92,7 @@
   /** Discards the incomplete event that was received before the stream broke off. */
   public void discardPartialEvent() {
     length = 0;
+    scanner.reset();
   }
 
   /**
