A stream that ends inside an event is cut off, whatever its route and framing

Cause: a body without length and chunks ends with its connection, and the operating system of a crashed engine closes that in order. Whether the last event is complete was checked only where a stream may be resumed, since only there events are framed; the two reported routes may not be resumed. Change: all streams are scanned for ends of events; StreamEndPolicy decides from framing and events whether an ended stream is complete. An empty stream counts as cut off if only the end of its connection ended it. This works as the gateway then closes the caller's connection without the last chunk, or resumes the stream elsewhere where that is allowed. A cut between two events of a stream without length can't be recognised from its bytes.

--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
+import org.bulrushweir.relay.ResponseFraming;
 
 /** Decodes endpoints' responses; a response to a HEAD request has no body. */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -16,7 +16,9 @@
 import org.bulrushweir.relay.EventBoundaryScanner;
 import org.bulrushweir.relay.EventStreamFramer;
 import org.bulrushweir.relay.RelayEvent;
+import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.relay.ResponseHead;
+import org.bulrushweir.relay.StreamEndPolicy;
 
 /**
  * One attempt: sends the request to one endpoint and forwards the response.
@@ -389,8 +391,9 @@
     if (buffered != null && !forwardBuffered()) {
       return;
     }
-    if (routed.forwardsCompleteEvents() && head.success() && !framer.isAtEventBoundary()) {
-      onBroken("the stream ended within an event");
+    final Optional<String> cut = findCut();
+    if (cut.isPresent()) {
+      onBroken(cut.get());
       return;
     }
     if (head.success()) {
@@ -399,6 +402,16 @@
     owner.handle(new RelayEvent.Ended(id));
   }
 
+  private Optional<String> findCut() {
+    if (!routed.isStream() || !head.success()) {
+      return Optional.empty();
+    }
+    final boolean hasEvents =
+        routed.head().resumeAfter().isPresent()
+            || (routed.forwardsCompleteEvents() ? framer.hasEvent() : scanner.hasEvent());
+    return StreamEndPolicy.findCut(framing.orElseThrow(), isInsideEvent(), hasEvents);
+  }
+
   @Override
   public void onBroken(final String detail) {
     responseEnded = true;
--- a/src/main/java/org/bulrushweir/gateway/ExchangeResult.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeResult.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.balancing.PlacementSnapshot;
+import org.bulrushweir.relay.ResponseFraming;
 
 /**
  * The result of a request.
--- a/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLogEntry.java
@@ -12,6 +12,7 @@
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.logging.JsonLine;
 import org.bulrushweir.logging.LogLine;
+import org.bulrushweir.relay.ResponseFraming;
 
 /**
  * An entry of the request log, written as one JSON line.
--- a/src/main/java/org/bulrushweir/gateway/ResponseListener.java
+++ b/src/main/java/org/bulrushweir/gateway/ResponseListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.bulrushweir.relay.ResponseFraming;
 
 /** Receives an endpoint's response to a request. */
 interface ResponseListener {
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -114,6 +114,15 @@
     return length == 0;
   }
 
+  /**
+   * Returns whether the stream had a complete event, in any of its attempts.
+   *
+   * @return true after the first one
+   */
+  public boolean hasEvent() {
+    return scanner.hasEvent();
+  }
+
   /**
    * Returns the id of the last event that the caller has.
    *
