A response without length is not complete if its request could not be sent

Cause: the selector reports the connection writable and readable at once, Netty writes first, the write fails and closes the channel, and the decoder takes that close for the end of a body without length. Evidence: UnframedResponseTest.streamResetWhileItsRequestIsBeingSent... failed three times of three before (200 with the events so far), passes three times of three now. The failure of the write is reported first, so the attempt is broken before the decoder reports an end.

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -101,7 +101,15 @@
     skippedResponses = 0;
     skippedBytes = 0;
     decoder.method(request.method());
-    channel.writeAndFlush(request);
+    channel
+        .writeAndFlush(request)
+        .addListener(
+            sent -> {
+              if (!sent.isSuccess()) {
+                // Netty closes the channel next, which the decoder takes for the end of the body.
+                fail("the request was not sent completely: " + sent.cause().getMessage());
+              }
+            });
   }
 
   /** Closes the connection, so that the endpoint stops working on the request. */
--- a/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
@@ -32,7 +32,9 @@
     /** In order, as when an operating system closes the sockets of a process that has ended. */
     CLOSED,
     /** By a reset. */
-    RESET
+    RESET,
+    /** By a reset; the body of the request is never read. */
+    RESET_UNREAD
   }
 
   /**
@@ -66,9 +68,11 @@
   private void answer(final Socket socket) {
     try (socket) {
       final String head = readHead(socket.getInputStream());
-      socket.getInputStream().readNBytes(contentLength(head));
+      if (end != ConnectionEnd.RESET_UNREAD) {
+        socket.getInputStream().readNBytes(contentLength(head));
+      }
       socket.getOutputStream().write(response(header(head, ID_HEADER)));
-      if (end == ConnectionEnd.RESET) {
+      if (end != ConnectionEnd.CLOSED) {
         // Lets the body arrive first, as a reset discards what was not read.
         Thread.sleep(100);
         socket.setSoLinger(true, 0);
--- a/src/test/java/org/bulrushweir/gateway/UnframedResponseTest.java
+++ b/src/test/java/org/bulrushweir/gateway/UnframedResponseTest.java
@@ -20,6 +20,7 @@
 class UnframedResponseTest {
 
   private static final String EVENTS = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+  private static final int LARGE_BODY_BYTES = 4_000_000;
   private static final int ABORTED = 0;
   private static final int BAD_GATEWAY = 502;
   private static final int NO_ENDPOINT = 503;
@@ -99,6 +100,23 @@
     assertEquals(ABORTED, answer.status(), answer.body());
   }
 
+  @Test
+  void streamResetWhileItsRequestIsBeingSentIsNotComplete()
+      throws IOException, InterruptedException {
+    final DemoCall small = DemoCall.review("r1", 1);
+    final DemoCall large =
+        new DemoCall(
+            small.requestId(),
+            small.host(),
+            small.path(),
+            small.key(),
+            small.promptParts(),
+            "a".repeat(LARGE_BODY_BYTES));
+    final DemoAnswer answer =
+        send(DemoFleet.ASSISTANT, large, EVENTS, RawEndpoint.ConnectionEnd.RESET_UNREAD);
+    assertEquals(ABORTED, answer.status(), answer.body());
+  }
+
   @Test
   void callThatEndsWithItsConnectionIsComplete() throws IOException, InterruptedException {
     assertEquals("booked", booking(RawEndpoint.ConnectionEnd.CLOSED).body());
