The store's era is read and logged

Pages of the change feed now carry the era that the store states in its answers; followers log when it changes, with the versions before and after. A store that states no era counts as era 0.

--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
@@ -30,6 +31,7 @@
   private boolean reachable = true;
   private boolean stopped;
   private long version;
+  private OptionalLong era = OptionalLong.empty();
   private long retryDelayMs = PollTimings.INITIAL_RETRY_MS;
 
   /**
@@ -85,6 +87,13 @@
       logger.atInfo().log(
           "table %s of the store is reachable again at version %d", table, page.version());
     }
+    if (era.isPresent() && era.getAsLong() != page.era()) {
+      logger.atWarning().log(
+          "the store was restored from an older copy: table %s was at version %d of era %d and is"
+              + " at version %d of era %d",
+          table, version, era.getAsLong(), page.version(), page.era());
+    }
+    era = OptionalLong.of(page.era());
     listener.onUpToDate();
     if (snapshotRead) {
       listener.onChanges(page.rows());
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -43,6 +43,9 @@
   /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
   private static final long MAX_REPLY_BYTES = 12L << 20;
 
+  /** The era of a store that does not state one. */
+  private static final long UNSTATED_ERA = 0;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_GONE = 410;
@@ -71,19 +74,18 @@
   public CompletableFuture<Row> read(final String key) {
     return range(StorePaths.OWN_TABLE, key, key + '\0')
         .thenApply(
-            message ->
-                message.rows().stream()
+            page ->
+                page.rows().stream()
                     .findFirst()
-                    .map(row -> toRow(row, message.storeClockMs()))
-                    .orElseGet(() -> new Row(key, 0, "", message.storeClockMs())));
+                    .map(row -> toRow(row, page.storeClockMs()))
+                    .orElseGet(() -> new Row(key, 0, "", page.storeClockMs())));
   }
 
   @Override
   public CompletableFuture<List<Row>> scan(final String prefix) {
     return all(StorePaths.OWN_TABLE, prefix, prefix + AFTER_ALL_KEYS)
         .thenApply(
-            message ->
-                message.rows().stream().map(row -> toRow(row, message.storeClockMs())).toList());
+            page -> page.rows().stream().map(row -> toRow(row, page.storeClockMs())).toList());
   }
 
   @Override
@@ -118,15 +120,13 @@
   public CompletableFuture<List<Vm>> vms() {
     return all(StorePaths.VM_TABLE, "", AFTER_ALL_KEYS)
         .thenApply(
-            message ->
-                message.rows().stream()
-                    .map(row -> readJson(decode(row.value()), Vm.class))
-                    .toList());
+            page ->
+                page.rows().stream().map(row -> readJson(decode(row.value()), Vm.class)).toList());
   }
 
   @Override
   public CompletableFuture<ChangePage> snapshot(final SharedTable table) {
-    return all(StorePaths.nameOf(table), "", AFTER_ALL_KEYS).thenApply(this::toPage);
+    return all(StorePaths.nameOf(table), "", AFTER_ALL_KEYS).thenApply(HttpPlatformStore::toPage);
   }
 
   @Override
@@ -189,12 +189,11 @@
   }
 
   /** Reads all rows of a range, page by page. */
-  private CompletableFuture<StoreMessages.RowsMessage> all(
-      final String table, final String from, final String to) {
+  private CompletableFuture<RowsPage> all(final String table, final String from, final String to) {
     return range(table, from, to)
         .thenCompose(
             page -> {
-              if (!Boolean.TRUE.equals(page.more()) || page.rows().isEmpty()) {
+              if (!Boolean.TRUE.equals(page.message().more()) || page.rows().isEmpty()) {
                 return CompletableFuture.completedFuture(page);
               }
               return all(table, page.rows().getLast().key() + '\0', to)
@@ -203,14 +202,18 @@
   }
 
   /** Joins two pages; what has changed since the first one was read is to be followed. */
-  private static StoreMessages.RowsMessage joined(
-      final StoreMessages.RowsMessage page, final StoreMessages.RowsMessage rest) {
+  private static RowsPage joined(final RowsPage page, final RowsPage rest) {
+    if (page.era() != rest.era()) {
+      throw new HistoryLostException();
+    }
     final List<StoreMessages.RowMessage> rows = new ArrayList<>(page.rows());
     rows.addAll(rest.rows());
-    return new StoreMessages.RowsMessage(rows, false, page.version(), page.storeClockMs());
+    return new RowsPage(
+        new StoreMessages.RowsMessage(rows, false, page.message().version(), page.storeClockMs()),
+        page.era());
   }
 
-  private CompletableFuture<StoreMessages.RowsMessage> range(
+  private CompletableFuture<RowsPage> range(
       final String table, final String from, final String to) {
     final HttpUrl url =
         url(StorePaths.READ)
@@ -258,9 +261,9 @@
     throw new PlatformException("the platform reports a conflict but names no row", true, null);
   }
 
-  private ChangePage toPage(final StoreMessages.RowsMessage message) {
+  private static ChangePage toPage(final RowsPage page) {
     final List<RowChange> rows = new ArrayList<>();
-    for (final StoreMessages.RowMessage row : message.rows()) {
+    for (final StoreMessages.RowMessage row : page.rows()) {
       final boolean removed = Boolean.TRUE.equals(row.removed()) || row.value() == null;
       rows.add(
           new RowChange(
@@ -268,7 +271,7 @@
               removed ? Optional.empty() : Optional.of(decode(row.value())),
               row.version() == null ? 0 : row.version()));
     }
-    return new ChangePage(rows, message.version());
+    return new ChangePage(rows, page.message().version(), page.era());
   }
 
   private static Row toRow(final StoreMessages.RowMessage row, final long timeMs) {
@@ -290,8 +293,8 @@
     }
   }
 
-  private StoreMessages.RowsMessage parse(final Reply reply) {
-    return readRows(requireOk(reply));
+  private RowsPage parse(final Reply reply) {
+    return new RowsPage(readRows(requireOk(reply)), reply.era());
   }
 
   private StoreMessages.RowsMessage readRows(final Reply reply) {
@@ -343,8 +346,26 @@
    *
    * @param status the HTTP status
    * @param body the body
+   * @param era the store's era
+   */
+  private record Reply(int status, String body, long era) {}
+
+  /**
+   * Rows of the store with the era in which they were read.
+   *
+   * @param message the rows
+   * @param era the store's era
    */
-  private record Reply(int status, String body) {}
+  private record RowsPage(StoreMessages.RowsMessage message, long era) {
+
+    List<StoreMessages.RowMessage> rows() {
+      return message.rows();
+    }
+
+    long storeClockMs() {
+      return message.storeClockMs();
+    }
+  }
 
   /**
    * Completes a future from the HTTP client's callback.
@@ -360,13 +381,28 @@
           new PlatformException("the platform does not answer: " + e.getMessage(), !neverSent, e));
     }
 
+    private static long era(final Response response) {
+      final String text = response.header(StorePaths.ERA);
+      if (text == null) {
+        return UNSTATED_ERA;
+      }
+      try {
+        return Long.parseLong(text.strip());
+      } catch (NumberFormatException e) {
+        throw new PlatformException("the platform's era is not a number: " + text, true, e);
+      }
+    }
+
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
-        future.complete(new Reply(response.code(), BoundedBody.read(response, MAX_REPLY_BYTES)));
+        future.complete(
+            new Reply(response.code(), BoundedBody.read(response, MAX_REPLY_BYTES), era(response)));
       } catch (IOException e) {
         future.completeExceptionally(
             new PlatformException("the platform's answer broke off", true, e));
+      } catch (PlatformException e) {
+        future.completeExceptionally(e);
       }
     }
   }
--- a/src/main/java/org/bulrushweir/platform/StorePaths.java
+++ b/src/main/java/org/bulrushweir/platform/StorePaths.java
@@ -2,7 +2,7 @@
 
 import org.bulrushweir.store.SharedTable;
 
-/** The paths, tables and parameters of the platform's store. */
+/** The paths, tables, parameters and headers of the platform's store. */
 public final class StorePaths {
 
   /** Applies a transaction. */
@@ -38,6 +38,9 @@
   /** The query parameter that says how long to wait, in milliseconds. */
   public static final String WAIT = "wait_ms";
 
+  /** The header of all answers that counts how often the store was restored from an older copy. */
+  public static final String ERA = "Store-Era";
+
   /** The table of the product's own rows. */
   public static final String OWN_TABLE = "bulrushweir";
 
--- a/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
@@ -73,7 +73,7 @@
     private CompletableFuture<ChangePage> changePage() {
       calls++;
       final RowChange change = new RowChange("endpoint", Optional.of("{}"), calls);
-      return CompletableFuture.completedFuture(new ChangePage(List.of(change), calls));
+      return CompletableFuture.completedFuture(new ChangePage(List.of(change), calls, 1));
     }
 
     @Override
