--- a/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
@@ -49,6 +49,7 @@
 
   private void addRoutes(final JavalinConfig config) {
     config.routes.before(this::misbehave);
+    config.routes.after(ctx -> ctx.header(StorePaths.ERA, Long.toString(state.era())));
     config.routes.get(StorePaths.READ, this::read);
     config.routes.get(StorePaths.FOLLOW, this::follow);
     config.routes.post(StorePaths.TRANSACT, this::transact);
@@ -83,6 +84,24 @@
     state.commitLater(List.of(row(StorePaths.nameOf(table), key, value)), 0);
   }
 
+  /**
+   * Copies everything that is stored.
+   *
+   * @return the copy
+   */
+  public PlatformCopy copy() {
+    return state.copy();
+  }
+
+  /**
+   * Goes back to a copy, as after a restoration of the store.
+   *
+   * @param copy the copy
+   */
+  public void restore(final PlatformCopy copy) {
+    state.restore(copy);
+  }
+
   /**
    * Returns the port.
    *
--- a/src/main/java/org/bulrushweir/standin/PlatformState.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformState.java
@@ -20,6 +20,7 @@
   private final Clock clock;
   private long lastVersion;
   private long historyFrom;
+  private long era = 1;
 
   /**
    * Creates an empty platform.
@@ -76,7 +77,7 @@
    * @param table the table
    * @param after the version after which changes are wanted
    * @param waitMs how long to wait, in milliseconds
-   * @return the changed rows, empty if that history was dropped
+   * @return the changed rows, empty if that history was dropped or never was
    * @throws InterruptedException if the thread is interrupted
    */
   public synchronized Optional<List<StoredRow>> changes(
@@ -84,7 +85,7 @@
     final long untilMs = clock.nowMs() + waitMs;
     while (true) {
       applyDueWrites();
-      if (after < historyFrom) {
+      if (after < historyFrom || after > lastVersion) {
         return Optional.empty();
       }
       final List<StoredRow> rows =
@@ -113,6 +114,45 @@
     notifyAll();
   }
 
+  /**
+   * Returns how often the platform was restored, counted from one.
+   *
+   * @return the era
+   */
+  public synchronized long era() {
+    return era;
+  }
+
+  /**
+   * Copies everything.
+   *
+   * @return the copy
+   */
+  public synchronized PlatformCopy copy() {
+    applyDueWrites();
+    final Map<String, Map<String, StoredRow>> copied = new HashMap<>();
+    tables.forEach((name, rows) -> copied.put(name, Map.copyOf(rows)));
+    return new PlatformCopy(copied, Map.copyOf(objects), List.copyOf(history), lastVersion);
+  }
+
+  /**
+   * Goes back to a copy. Everything written since is gone, and its versions are given out again.
+   *
+   * @param copy the copy
+   */
+  public synchronized void restore(final PlatformCopy copy) {
+    tables.clear();
+    copy.tables().forEach((name, rows) -> tables.put(name, new TreeMap<>(rows)));
+    objects.clear();
+    objects.putAll(copy.objects());
+    history.clear();
+    history.addAll(copy.history());
+    dueWrites.clear();
+    lastVersion = copy.version();
+    era++;
+    notifyAll();
+  }
+
   /**
    * Commits a transaction, or changes nothing.
    *
