Changes of a restored store are followed from its own version

Change: the place in the history is the era and the version of the last page. The first poll after a failure does not wait, so that the new era is known soon.

--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -69,9 +69,10 @@
       return;
     }
     pollStartedMs = clock.nowMs();
+    // After a failure, a poll that does not wait tells soon whether the store was restored.
     final CompletableFuture<ChangePage> result =
         snapshotRead
-            ? feed.changes(table, version, PollTimings.POLL_WAIT_MS)
+            ? feed.changes(table, version, reachable ? PollTimings.POLL_WAIT_MS : 0)
             : feed.snapshot(table);
     result.whenComplete((page, failure) -> loop.execute(() -> onPolled(page, failure)));
   }
@@ -88,10 +89,13 @@
           "table %s of the store is reachable again at version %d", table, page.version());
     }
     if (era.isPresent() && era.getAsLong() != page.era()) {
-      logger.atWarning().log(
-          "the store was restored from an older copy: table %s was at version %d of era %d and is"
-              + " at version %d of era %d",
-          table, version, era.getAsLong(), page.version(), page.era());
+      onRestored(page);
+      if (snapshotRead) {
+        // The changes do not start from what was read in the earlier era.
+        snapshotRead = false;
+        poll();
+        return;
+      }
     }
     era = OptionalLong.of(page.era());
     listener.onUpToDate();
@@ -101,7 +105,7 @@
       listener.onSnapshot(page.rows());
     }
     snapshotRead = true;
-    version = Math.max(version, page.version());
+    version = page.version();
     if (page.rows().isEmpty()) {
       poll();
       return;
@@ -109,6 +113,14 @@
     loop.schedule(this::poll, PollTimings.BATCH_DELAY_MS, TimeUnit.MILLISECONDS);
   }
 
+  private void onRestored(final ChangePage page) {
+    logger.atWarning().log(
+        "the store was restored from an older copy: table %s was at version %d of era %d and is at"
+            + " version %d of era %d",
+        table, version, era.orElseThrow(), page.version(), page.era());
+    era = OptionalLong.of(page.era());
+  }
+
   private void onFailure(final Throwable failure) {
     if (failure instanceof HistoryLostException) {
       logger.atInfo().log(
--- a/src/test/java/org/bulrushweir/gateway/ScriptedFeed.java
+++ b/src/test/java/org/bulrushweir/gateway/ScriptedFeed.java
@@ -84,7 +84,7 @@
     if (after > version) {
       return CompletableFuture.failedFuture(new HistoryLostException());
     }
-    if (after == version) {
+    if (after == version && waitMs > 0) {
       waitingAfter = after;
       waiting = new CompletableFuture<>();
       return waiting;
