Registrations that a restored store brings back do not attract requests

A restoration that a gateway does not notice as an outage gave missing registrations no grace. Change: a run that drains never accepts requests again, and does not return once it has left. A run that left without draining is listed again only if the restored store still lists it after 5 s (it drops silent ones after three intervals of 1.2 s) or if it registers again. A restoration counts as an outage, so missing registrations keep their grace.

--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -48,23 +48,31 @@
    */
   static final long LATE_REMOVAL_DELAY_MS = 1_400;
 
+  /**
+   * The time after a restoration of the store after which a registration that it has brought back
+   * counts as alive, in milliseconds. The store removes those that are not renewed within three
+   * intervals of 1.2 s.
+   */
+  static final long REVIVAL_PROOF_MS = 5_000;
+
   /**
    * The time after the end of an outage within which the first response of the store is applied, in
    * milliseconds. Removals up to then count as lapses during the outage.
    */
   private static final long FIRST_SNAPSHOT_WINDOW_MS = 100;
 
-  /** The number of removed endpoints whose last start is remembered. */
-  private static final int REMEMBERED_STARTS = 4_096;
+  /** The number of removed endpoints whose last registration is remembered. */
+  private static final int REMEMBERED_REMOVALS = 4_096;
 
   private final Map<EndpointId, EndpointRecord> records = new LinkedHashMap<>();
-  private final Map<EndpointId, Long> startsOfRemoved =
+  private final Map<EndpointId, EndpointRecord> removed =
       new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(final Map.Entry<EndpointId, Long> eldest) {
-          return size() > REMEMBERED_STARTS;
+        protected boolean removeEldestEntry(final Map.Entry<EndpointId, EndpointRecord> eldest) {
+          return size() > REMEMBERED_REMOVALS;
         }
       };
+  private final Map<EndpointId, Revival> revivals = new HashMap<>();
   private final Map<EndpointId, Long> pendingRemovals = new HashMap<>();
   private Map<ServiceName, List<EndpointRecord>> byService = Map.of();
   private boolean storeReachable = true;
@@ -74,30 +82,35 @@
 
   /**
    * Adds or replaces a registration. One that was written before the last known start of its
-   * endpoint is ignored: it was delayed on its way and describes a process that has ended.
+   * endpoint is ignored: it was delayed on its way, or the store was restored, and it describes a
+   * process that has ended. So is one of a run that has left after draining. A run that drains
+   * never accepts requests again.
    *
    * @param registration the endpoint as registered
    * @return false if the registration was ignored
    */
   public boolean put(final EndpointRecord registration) {
-    if (registration.startedAtMs() < lastStartMs(registration.id())) {
+    final EndpointId id = registration.id();
+    final EndpointRecord last = records.getOrDefault(id, removed.get(id));
+    if (last != null && registration.startedAtMs() < last.startedAtMs()) {
       return false;
     }
-    pendingRemovals.remove(registration.id());
-    startsOfRemoved.remove(registration.id());
-    if (!registration.equals(records.put(registration.id(), registration))) {
+    final boolean drained = last != null && last.draining() && last.isSameRun(registration);
+    if (drained && !records.containsKey(id)) {
+      return false;
+    }
+    final EndpointRecord current = drained ? registration.asDraining() : registration;
+    pendingRemovals.remove(id);
+    removed.remove(id);
+    revivals.remove(id);
+    if (!current.equals(records.put(id, current))) {
       rebuildIndex();
     }
     return true;
   }
 
-  private long lastStartMs(final EndpointId id) {
-    final EndpointRecord known = records.get(id);
-    return known == null ? startsOfRemoved.getOrDefault(id, Long.MIN_VALUE) : known.startedAtMs();
-  }
-
   private void forget(final EndpointId id) {
-    startsOfRemoved.put(id, records.remove(id).startedAtMs());
+    removed.put(id, records.remove(id));
   }
 
   /**
@@ -108,6 +121,7 @@
    * @param nowMs the current time, in Unix milliseconds
    */
   public void remove(final EndpointId id, final long nowMs) {
+    revivals.remove(id);
     if (!records.containsKey(id)) {
       return;
     }
@@ -146,8 +160,16 @@
     final Set<EndpointId> listed = new HashSet<>();
     for (final EndpointRecord registration : registrations) {
       listed.add(registration.id());
-      put(registration);
+      final Revival revival = revivals.get(registration.id());
+      if (revival == null || !revival.registration().equals(registration)) {
+        put(registration);
+      }
     }
+    removeUnlisted(listed, nowMs);
+  }
+
+  private void removeUnlisted(final Set<EndpointId> listed, final long nowMs) {
+    revivals.keySet().retainAll(listed);
     for (final EndpointId id : List.copyOf(records.keySet())) {
       if (!listed.contains(id)) {
         remove(id, nowMs);
@@ -155,6 +177,29 @@
     }
   }
 
+  /**
+   * Replaces all registrations by a snapshot of a store that was restored from an older copy. The
+   * copy may list runs that have left since. One that was removed here is listed again only if the
+   * store still lists it after {@link #REVIVAL_PROOF_MS}, or as soon as it registers again. Missing
+   * endpoints are removed as in {@link #remove}.
+   *
+   * @param registrations all registrations that could be read
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void replaceAllRestored(final Collection<EndpointRecord> registrations, final long nowMs) {
+    final Set<EndpointId> listed = new HashSet<>();
+    for (final EndpointRecord registration : registrations) {
+      listed.add(registration.id());
+      final EndpointRecord left = removed.get(registration.id());
+      if (left != null && left.isSameRun(registration)) {
+        revivals.put(registration.id(), new Revival(registration, nowMs + REVIVAL_PROOF_MS));
+      } else {
+        put(registration);
+      }
+    }
+    removeUnlisted(listed, nowMs);
+  }
+
   /**
    * Records that the store is unreachable.
    *
@@ -180,12 +225,16 @@
   }
 
   /**
-   * Removes the endpoints whose delayed removals are due.
+   * Removes the endpoints whose delayed removals are due, and lists those again that a restored
+   * store has brought back and kept.
    *
    * @param nowMs the current time, in Unix milliseconds
    * @return the removed endpoints, empty if there are none
    */
   public List<EndpointId> expire(final long nowMs) {
+    List.copyOf(revivals.values()).stream()
+        .filter(revival -> storeReachable && nowMs >= revival.provenAtMs())
+        .forEach(revival -> revive(revival.registration()));
     final List<EndpointId> expired = new ArrayList<>();
     pendingRemovals.forEach(
         (id, untilMs) -> {
@@ -203,6 +252,11 @@
     return expired;
   }
 
+  private void revive(final EndpointRecord registration) {
+    revivals.remove(registration.id());
+    put(registration);
+  }
+
   private void rebuildIndex() {
     changeCount++;
     final Map<ServiceName, List<EndpointRecord>> grouped = new HashMap<>();
@@ -249,4 +303,12 @@
   public long changeCount() {
     return changeCount;
   }
+
+  /**
+   * A registration of a removed run that a restored store lists again.
+   *
+   * @param registration the registration
+   * @param provenAtMs the time from which the run counts as alive, in Unix milliseconds
+   */
+  private record Revival(EndpointRecord registration, long provenAtMs) {}
 }
--- a/src/main/java/org/bulrushweir/catalog/EndpointRecord.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointRecord.java
@@ -25,4 +25,24 @@
     ZoneName zone,
     int slots,
     boolean draining,
-    long startedAtMs) {}
+    long startedAtMs) {
+
+  /**
+   * Returns the registration with the state of an endpoint that is about to leave.
+   *
+   * @return a copy that accepts no new requests
+   */
+  public EndpointRecord asDraining() {
+    return new EndpointRecord(id, service, host, port, zone, slots, true, startedAtMs);
+  }
+
+  /**
+   * Returns whether another registration is of the same run of the endpoint.
+   *
+   * @param other the other registration
+   * @return true if both state the same start
+   */
+  public boolean isSameRun(final EndpointRecord other) {
+    return id.equals(other.id) && startedAtMs == other.startedAtMs;
+  }
+}
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -21,6 +21,7 @@
   private final EndpointDecoder decoder = new EndpointDecoder();
   private final EndpointDirectory directory;
   private final Clock clock;
+  private boolean restored;
 
   /**
    * Creates the listener.
@@ -37,7 +38,12 @@
   public void onSnapshot(final List<RowChange> rows) {
     final List<EndpointRecord> entries = new ArrayList<>();
     rows.forEach(row -> decode(row).ifPresent(entries::add));
-    directory.replaceAll(entries, clock.nowMs());
+    if (restored) {
+      directory.replaceAllRestored(entries, clock.nowMs());
+      restored = false;
+    } else {
+      directory.replaceAll(entries, clock.nowMs());
+    }
     logger.atInfo().log("read the registrations of %d endpoints", entries.size());
   }
 
@@ -51,7 +57,7 @@
     if (entry.isPresent()) {
       if (!directory.put(entry.get())) {
         logger.atInfo().log(
-            "endpoint %s at version %d: ignoring a registration of an earlier run",
+            "endpoint %s at version %d: ignoring a registration of a run that has ended",
             row.key(), row.version());
         return;
       }
@@ -60,7 +66,9 @@
           row.key(),
           entry.get().service(),
           row.version(),
-          entry.get().draining() ? "draining" : "accepts requests");
+          directory.find(entry.get().id()).filter(EndpointRecord::draining).isPresent()
+              ? "draining"
+              : "accepts requests");
       return;
     }
     if (Identifiers.isValid(row.key())) {
@@ -86,6 +94,13 @@
     directory.markStoreReachable(clock.nowMs());
   }
 
+  /** Endpoints that have registered since the copy are missing from it, as after an outage. */
+  @Override
+  public void onRestored(final long pollStartedMs) {
+    restored = true;
+    directory.markStoreUnreachable(pollStartedMs);
+  }
+
   /** Removes the endpoints that have not renewed their lapsed registrations in time. */
   void expire() {
     directory
--- a/src/main/java/org/bulrushweir/gateway/PlanListener.java
+++ b/src/main/java/org/bulrushweir/gateway/PlanListener.java
@@ -64,6 +64,11 @@
     activePlan.recordConfirmation(clock.nowMs());
   }
 
+  @Override
+  public void onRestored(final long pollStartedMs) {
+    // The active plan stays, as an older one is never activated.
+  }
+
   @Override
   public void onUnreachable(final long pollStartedMs) {
     // The active plan stays; the age of its last confirmation decides which refusals are permitted.
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -97,6 +97,11 @@
         listener.onUpToDate();
       }
 
+      @Override
+      public void onRestored(final long pollStartedMs) {
+        listener.onRestored(pollStartedMs);
+      }
+
       @Override
       public void onUnreachable(final long pollStartedMs) {
         listener.onUnreachable(pollStartedMs);
--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -119,6 +119,7 @@
             + " version %d of era %d",
         table, version, era.orElseThrow(), page.version(), page.era());
     era = OptionalLong.of(page.era());
+    listener.onRestored(pollStartedMs);
   }
 
   private void onFailure(final Throwable failure) {
--- a/src/main/java/org/bulrushweir/gateway/TableListener.java
+++ b/src/main/java/org/bulrushweir/gateway/TableListener.java
@@ -26,6 +26,14 @@
    */
   void onUpToDate();
 
+  /**
+   * Handles that the store was restored from an older copy. Called before the snapshot that
+   * follows, which may hold rows that were changed or removed since the copy.
+   *
+   * @param pollStartedMs the start of the poll that has shown it, in Unix milliseconds
+   */
+  void onRestored(long pollStartedMs);
+
   /**
    * Handles the failure of a poll.
    *
--- a/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -135,4 +135,65 @@
     directory.put(entry(E1));
     assertEquals(before, directory.changeCount());
   }
+
+  private static EndpointRecord draining(final EndpointId id) {
+    return entry(id).asDraining();
+  }
+
+  private void removeAndRestore(final EndpointRecord... copy) {
+    directory.remove(E1, 10_000);
+    directory.markStoreUnreachable(19_900);
+    directory.markStoreReachable(20_000);
+    directory.replaceAllRestored(List.of(copy), 20_000);
+  }
+
+  @Test
+  void runThatDrainsNeverAcceptsRequestsAgain() {
+    directory.put(draining(E1));
+    directory.put(entry(E1));
+    assertTrue(directory.find(E1).orElseThrow().draining());
+    directory.replaceAllRestored(List.of(entry(E1)), 20_000);
+    assertTrue(directory.find(E1).orElseThrow().draining());
+    assertTrue(directory.put(startedAt(100, 80)));
+    assertFalse(directory.find(E1).orElseThrow().draining());
+  }
+
+  @Test
+  void runThatLeftAfterDrainingDoesNotReturnWithRestoredStore() {
+    directory.put(draining(E1));
+    removeAndRestore(entry(E1));
+    directory.expire(20_000 + EndpointDirectory.REVIVAL_PROOF_MS);
+    assertEquals(0, count());
+    assertFalse(directory.put(entry(E1)));
+    assertEquals(0, count());
+  }
+
+  @Test
+  void runThatLeftWithoutDrainingDoesNotReturnWithRestoredStore() {
+    directory.put(entry(E1));
+    directory.put(entry(E2));
+    removeAndRestore(entry(E1), entry(E2));
+    assertEquals(1, count());
+    directory.replaceAll(List.of(entry(E1), entry(E2)), 21_000);
+    assertEquals(1, count());
+    directory.remove(E1, 23_600);
+    directory.expire(20_000 + EndpointDirectory.REVIVAL_PROOF_MS);
+    assertEquals(1, count());
+  }
+
+  @Test
+  void runThatRestoredStoreKeepsListedOrThatRegistersAgainIsUsed() {
+    directory.put(entry(E1));
+    removeAndRestore(entry(E1));
+    directory.expire(20_000 + EndpointDirectory.REVIVAL_PROOF_MS - 1);
+    assertEquals(0, count());
+    directory.expire(20_000 + EndpointDirectory.REVIVAL_PROOF_MS);
+    assertEquals(1, count());
+    removeAndRestore(entry(E1));
+    directory.remove(E1, 40_000);
+    directory.replaceAllRestored(List.of(entry(E1)), 50_000);
+    assertEquals(0, count());
+    directory.put(entry(E1));
+    assertEquals(1, count());
+  }
 }
--- a/src/test/java/org/bulrushweir/gateway/RestoredTableTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RestoredTableTest.java
@@ -54,6 +54,11 @@
         // Confirmations are not checked here.
       }
 
+      @Override
+      public void onRestored(final long pollStartedMs) {
+        // The snapshot that follows is checked.
+      }
+
       @Override
       public void onUnreachable(final long pollStartedMs) {
         // The poll that waits fails when the store is restored.
--- a/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
@@ -39,6 +39,11 @@
         // This test does not check the confirmations.
       }
 
+      @Override
+      public void onRestored(final long pollStartedMs) {
+        // The snapshot that follows is checked.
+      }
+
       @Override
       public void onUnreachable(final long pollStartedMs) {
         throw new IllegalStateException("the feed never fails in this test");
