A store that holds an older plan confirms nothing

Cause: the answer was taken for "there is nothing newer", which a restored store can't say. Change: after a restoration confirmations count only once the store holds a plan again that is not older than the present one; until then such requests get 503. Known routes are served as before.

--- a/src/main/java/org/bulrushweir/catalog/ActivePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ActivePlan.java
@@ -17,6 +17,7 @@
 
   private RoutingPlan current;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
+  private long versionToConfirm;
 
   /**
    * Puts a plan in force if it is newer than the present one.
@@ -33,12 +34,37 @@
   }
 
   /**
-   * Records that the store has no newer plan.
+   * Records that the store has no newer plan than those read from it. Without effect after {@link
+   * #recordRestoration} until the store holds a plan again that is not older than the present one.
    *
    * @param nowMs the time of the store's response, in Unix milliseconds
    */
   public void recordConfirmation(final long nowMs) {
-    confirmedAtMs = nowMs;
+    if (versionToConfirm == 0) {
+      confirmedAtMs = nowMs;
+    }
+  }
+
+  /**
+   * Records that a plan was read from the store.
+   *
+   * @param version the plan's version
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void recordRead(final long version, final long nowMs) {
+    if (version >= versionToConfirm) {
+      versionToConfirm = 0;
+    }
+    recordConfirmation(nowMs);
+  }
+
+  /**
+   * Records that the store was restored from an older copy. It may hold an older plan than it did,
+   * so it confirms nothing until it holds the present one again.
+   */
+  public void recordRestoration() {
+    versionToConfirm = current == null ? 0 : current.version();
+    confirmedAtMs = Long.MIN_VALUE / 2;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/PlanListener.java
+++ b/src/main/java/org/bulrushweir/gateway/PlanListener.java
@@ -49,6 +49,7 @@
         .ifPresent(
             plan -> {
               final boolean adopted = activePlan.adoptIfNewer(plan);
+              activePlan.recordRead(plan.version(), clock.nowMs());
               logger.atInfo().log(
                   "configuration %d of row version %d with %d routes: %s",
                   plan.version(),
@@ -66,7 +67,7 @@
 
   @Override
   public void onRestored(final long pollStartedMs) {
-    // The active plan stays, as an older one is never activated.
+    activePlan.recordRestoration();
   }
 
   @Override
--- a/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
+++ b/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
@@ -48,4 +48,19 @@
     assertTrue(activePlan.isConfirmed(1_000 + ActivePlan.CONFIRMATION_VALID_MS));
     assertFalse(activePlan.isConfirmed(1_001 + ActivePlan.CONFIRMATION_VALID_MS));
   }
+
+  @Test
+  void restoredStoreConfirmsNothingUntilItHoldsThePresentPlan() {
+    final ActivePlan activePlan = new ActivePlan();
+    activePlan.adoptIfNewer(plan(3));
+    activePlan.recordRead(3, 1_000);
+    activePlan.recordRestoration();
+    assertFalse(activePlan.isConfirmed(1_000));
+    activePlan.recordRead(2, 1_100);
+    activePlan.recordConfirmation(1_200);
+    assertFalse(activePlan.isConfirmed(1_200), "the store holds an older plan");
+    activePlan.recordRead(3, 1_300);
+    assertTrue(activePlan.isConfirmed(1_300));
+    assertEquals(3, activePlan.current().orElseThrow().version());
+  }
 }
