A gateway registers again after the store was restored

What callers would see: after a restoration the row of a gateway that registered since the copy is lost for as long as it runs. Cause: a gateway registered once, at its start. Rows of gateways that are gone were never removed, so a restored copy adds none that could not be there before.

--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -123,14 +123,16 @@
             drainPolicy,
             gate,
             new RequestLog(settings.node(), clock, activePlan, metrics, log));
-    gate.whenTablesRead(new PeerRegistration(settings.node(), feed, mesh, loop)::start);
+    final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
+    gate.whenTablesRead(registration::start);
     this.endpointListener = new EndpointListener(directory, clock);
     this.followers =
         List.of(
             new TableFollower(
                 feed,
                 SharedTable.CONFIGURATION,
-                gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock)),
+                registration.wrap(
+                    gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock))),
                 loop,
                 clock),
             new TableFollower(
--- a/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
@@ -2,10 +2,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.store.ChangeFeed;
 import org.bulrushweir.store.ChangePage;
+import org.bulrushweir.store.RowChange;
 import org.bulrushweir.store.SharedTable;
 
 /** Registers this gateway in the store and periodically reads the registrations of the others. */
@@ -50,6 +52,43 @@
     read();
   }
 
+  /**
+   * Wraps the listener of a followed table, so that this gateway registers again after the store
+   * was restored from an older copy, which may not hold its row.
+   *
+   * @param listener receives all notifications of the table
+   * @return the wrapping listener
+   */
+  TableListener wrap(final TableListener listener) {
+    return new TableListener() {
+      @Override
+      public void onSnapshot(final List<RowChange> rows) {
+        listener.onSnapshot(rows);
+      }
+
+      @Override
+      public void onChanges(final List<RowChange> rows) {
+        listener.onChanges(rows);
+      }
+
+      @Override
+      public void onUpToDate() {
+        listener.onUpToDate();
+      }
+
+      @Override
+      public void onRestored(final long pollStartedMs) {
+        listener.onRestored(pollStartedMs);
+        register();
+      }
+
+      @Override
+      public void onUnreachable(final long pollStartedMs) {
+        listener.onUnreachable(pollStartedMs);
+      }
+    };
+  }
+
   private void register() {
     feed.put(SharedTable.ROUTERS, self.value(), mesh.registration())
         .whenComplete((ignored, failure) -> loop.execute(() -> onRegistered(failure)));
