A plan older than a peer's is not confirmed

Cause: reports of gateways state the version of their plan, and nobody read it. Change: while a peer's plan is newer, requests that the own plan does not provide for get 503. What the older plan allows is still served.

--- a/src/main/java/org/bulrushweir/catalog/ActivePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ActivePlan.java
@@ -18,6 +18,7 @@
   private RoutingPlan current;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
   private long versionToConfirm;
+  private long newestPeerVersion;
 
   /**
    * Puts a plan in force if it is newer than the present one.
@@ -67,6 +68,16 @@
     confirmedAtMs = Long.MIN_VALUE / 2;
   }
 
+  /**
+   * Records that another gateway applies a plan. While the present one is older, this process does
+   * not know what the newer one provides for.
+   *
+   * @param version the version of the other gateway's plan
+   */
+  public void recordPeerVersion(final long version) {
+    newestPeerVersion = Math.max(newestPeerVersion, version);
+  }
+
   /**
    * Returns the plan in force.
    *
@@ -81,10 +92,12 @@
    * not provide for be refused with a final status.
    *
    * @param nowMs the current time, in Unix milliseconds
-   * @return false if there is no plan or the last confirmation is too old
+   * @return false if there is no plan, a peer's is newer or the last confirmation is too old
    */
   public boolean isConfirmed(final long nowMs) {
-    return current != null && nowMs - confirmedAtMs <= CONFIRMATION_VALID_MS;
+    return current != null
+        && current.version() >= newestPeerVersion
+        && nowMs - confirmedAtMs <= CONFIRMATION_VALID_MS;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -180,6 +180,7 @@
     } else {
       addOrGet(report.node(), message.getHost(), message.getPort()).lastReportMs = clock.nowMs();
     }
+    activePlan.recordPeerVersion(report.planVersion());
     tracker.applyPeerReport(report, clock.nowMs());
     quarantine.applyReport(PeerReportCodec.decodeQuarantine(message), clock.nowMs());
     updateGatewayCount();
--- a/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
+++ b/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
@@ -63,4 +63,17 @@
     assertTrue(activePlan.isConfirmed(1_300));
     assertEquals(3, activePlan.current().orElseThrow().version());
   }
+
+  @Test
+  void planOlderThanThatOfPeerIsNotConfirmed() {
+    final ActivePlan activePlan = new ActivePlan();
+    activePlan.adoptIfNewer(plan(3));
+    activePlan.recordRead(3, 1_000);
+    activePlan.recordPeerVersion(4);
+    assertFalse(activePlan.isConfirmed(1_000));
+    activePlan.adoptIfNewer(plan(4));
+    activePlan.recordRead(4, 1_100);
+    activePlan.recordPeerVersion(3);
+    assertTrue(activePlan.isConfirmed(1_100));
+  }
 }
--- a/src/test/java/org/bulrushweir/gateway/RestoredStoreTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RestoredStoreTest.java
@@ -121,6 +121,19 @@
     assertEquals(404, status(unknownRoute("u2")));
   }
 
+  @Test
+  void gatewayThatStartsOnAnOlderStoreRefusesUnknownRoutesOnlyTemporarily()
+      throws InterruptedException {
+    final PlatformCopy copy = fleet.platform().copy();
+    configure(2, KEY);
+    Thread.sleep(NOTICED_MS);
+    restore(copy);
+    gateway = fleet.startGateway("gateway-2");
+    Thread.sleep(IN_FORCE_MS);
+    assertEquals(503, status(unknownRoute("u1")));
+    assertEquals(200, status(DemoCall.booking("b1")));
+  }
+
   private void assertNoRequestsAtFirstEndpoint() throws InterruptedException {
     for (int number = 0; number < 20; number++) {
       assertEquals(200, status(DemoCall.booking("n" + number)));
