A configuration number that a restored store gives out again is applied

Cause: a number was taken for the identity of a text. Evidence: ConfigMachineTest.configurationUnderNumberThatIsGivenOutAgain... failed before (no fetch). Change: if the store's head names another text under the number in force, that text is fetched from the store and replaces it. Texts from peers under the same number are ignored as before. Numbers never go down.

--- a/src/main/java/org/bulrushweir/configuration/ConfigMachine.java
+++ b/src/main/java/org/bulrushweir/configuration/ConfigMachine.java
@@ -16,6 +16,7 @@
 
   private AcceptedConfig inForce;
   private boolean fetching;
+  private String replacementDigest = "";
 
   /**
    * Returns the configuration in force.
@@ -64,13 +65,25 @@
   }
 
   private List<ConfigAction> headRead(final ConfigHead head) {
-    if (!new ConfigNumber(head.number()).isNewerThan(number())) {
+    if (isReplacement(head)) {
+      replacementDigest = head.digest();
+    } else if (!new ConfigNumber(head.number()).isNewerThan(number())) {
       return List.of();
     }
     fetching = true;
     return List.of(new ConfigAction.FetchFromPlatform(head));
   }
 
+  /**
+   * Returns whether the head names another text under the number in force. A store that was
+   * restored from an older copy has then given the number out again; the later acceptance is valid.
+   */
+  private boolean isReplacement(final ConfigHead head) {
+    return inForce != null
+        && head.number() == inForce.number().value()
+        && !head.digest().equals(inForce.digest());
+  }
+
   private List<ConfigAction> numberSeen(final ConfigEvent.NumberSeen seen) {
     if (fetching || !seen.number().isNewerThan(number())) {
       return List.of();
@@ -81,7 +94,9 @@
 
   private List<ConfigAction> textArrived(final ConfigEvent.TextArrived arrived) {
     fetching = false;
-    if (!arrived.number().isNewerThan(number())) {
+    final boolean replaces =
+        arrived.number().equals(number()) && arrived.digest().equals(replacementDigest);
+    if (!replaces && !arrived.number().isNewerThan(number())) {
       return List.of();
     }
     if (!digest(arrived.text()).equals(arrived.digest())) {
--- a/src/test/java/org/bulrushweir/configuration/ConfigMachineTest.java
+++ b/src/test/java/org/bulrushweir/configuration/ConfigMachineTest.java
@@ -66,4 +66,20 @@
     assertInstanceOf(ConfigAction.ReportInvalidConfig.class, machine.on(damaged).getFirst());
     assertEquals(ConfigNumber.NONE, machine.number());
   }
+
+  @Test
+  void configurationUnderNumberThatIsGivenOutAgainReplacesTheLostOne() {
+    final ConfigMachine machine = new ConfigMachine();
+    machine.on(arrival(2));
+    final String later = text(9);
+    final String digest = ConfigMachine.digest(later);
+    final ConfigHead head = new ConfigHead(2, digest, "nonce");
+    assertEquals(
+        List.of(new ConfigAction.FetchFromPlatform(head)),
+        machine.on(new ConfigEvent.HeadRead(head)));
+    machine.on(new ConfigEvent.TextArrived(new ConfigNumber(2), digest, later));
+    assertEquals(digest, machine.inForce().orElseThrow().digest());
+    machine.on(arrival(2));
+    assertEquals(digest, machine.inForce().orElseThrow().digest(), "peers may still have the lost");
+  }
 }
