A configuration that a restored store has lost is written back

Cause: nobody tells the store what the fleet still applies. Change: a process whose number is greater than the head's writes text and head back, on condition that the head is as it was read, so one of them does, and none after a newer acceptance.

--- a/src/main/java/org/bulrushweir/configuration/ConfigAction.java
+++ b/src/main/java/org/bulrushweir/configuration/ConfigAction.java
@@ -26,6 +26,14 @@
    */
   record Adopt(AcceptedConfig config) implements ConfigAction {}
 
+  /**
+   * Writes a configuration back to the platform, whose store was restored from an older copy and
+   * has lost it.
+   *
+   * @param config the configuration in force
+   */
+  record WriteBack(AcceptedConfig config) implements ConfigAction {}
+
   /**
    * Reports a configuration whose text is damaged or invalid.
    *
--- a/src/main/java/org/bulrushweir/configuration/ConfigEvent.java
+++ b/src/main/java/org/bulrushweir/configuration/ConfigEvent.java
@@ -9,7 +9,7 @@
   /**
    * The platform's head row was read.
    *
-   * @param head the content of the row
+   * @param head the content of the row, with number zero if the row does not exist
    */
   record HeadRead(ConfigHead head) implements ConfigEvent {}
 
--- a/src/main/java/org/bulrushweir/configuration/ConfigMachine.java
+++ b/src/main/java/org/bulrushweir/configuration/ConfigMachine.java
@@ -65,6 +65,9 @@
   }
 
   private List<ConfigAction> headRead(final ConfigHead head) {
+    if (inForce != null && head.number() < inForce.number().value()) {
+      return List.of(new ConfigAction.WriteBack(inForce));
+    }
     if (isReplacement(head)) {
       replacementDigest = head.digest();
     } else if (!new ConfigNumber(head.number()).isNewerThan(number())) {
--- a/src/main/java/org/bulrushweir/node/ConfigService.java
+++ b/src/main/java/org/bulrushweir/node/ConfigService.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,8 +24,12 @@
 import org.bulrushweir.configuration.ConfigHead;
 import org.bulrushweir.configuration.ConfigMachine;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.store.CommitResult;
+import org.bulrushweir.store.Condition;
 import org.bulrushweir.store.PlatformStore;
 import org.bulrushweir.store.Row;
+import org.bulrushweir.store.Transaction;
+import org.bulrushweir.store.Write;
 import org.bulrushweir.wire.PeerChannel;
 import org.bulrushweir.wire.generated.ConfigText;
 import org.bulrushweir.wire.generated.Envelope;
@@ -49,6 +55,7 @@
   private final PlatformStore store;
   private final RandomGenerator random;
   private final long pollIntervalMs;
+  private Row headRow = Row.absent(ConfigHead.ROW_KEY);
   private volatile AcceptedConfig inForce;
 
   /**
@@ -165,10 +172,12 @@
 
   private void pollHead() {
     try {
-      final Row row = store.read(ConfigHead.ROW_KEY).join();
-      if (row.exists()) {
-        handle(new ConfigEvent.HeadRead(mapper.readValue(row.value(), ConfigHead.class)));
-      }
+      headRow = store.read(ConfigHead.ROW_KEY).join();
+      final ConfigHead head =
+          headRow.exists()
+              ? mapper.readValue(headRow.value(), ConfigHead.class)
+              : new ConfigHead(0, "", "");
+      handle(new ConfigEvent.HeadRead(head));
     } catch (RuntimeException e) {
       logger.atFine().log("the head of the configuration can't be read: %s", e.getMessage());
     } catch (JsonProcessingException e) {
@@ -183,6 +192,7 @@
         case ConfigAction.FetchFromPlatform fetch -> fetchFromPlatform(fetch.head());
         case ConfigAction.FetchFromPeer fetch -> fetchFromPeer(fetch.peer());
         case ConfigAction.Adopt adopt -> adopt(adopt.config());
+        case ConfigAction.WriteBack writeBack -> writeBack(writeBack.config());
         case ConfigAction.ReportInvalidConfig complaint ->
             logger.atSevere().log("%s", complaint.message());
       }
@@ -206,6 +216,38 @@
     handle(new ConfigEvent.FetchFailed());
   }
 
+  /** Writes a configuration back if the head row is still as it was read; others may be first. */
+  private void writeBack(final AcceptedConfig config) {
+    final long number = config.number().value();
+    final ConfigHead head = new ConfigHead(number, config.digest(), UUID.randomUUID().toString());
+    try {
+      final String json = mapper.writeValueAsString(head);
+      store.putObject(head.objectKey(), config.text()).join();
+      final Transaction transaction =
+          new Transaction(
+              List.of(new Condition(ConfigHead.ROW_KEY, headRow.version())),
+              List.of(
+                  new Write(ConfigHead.ROW_KEY, json),
+                  new Write(ConfigHead.numberKey(number), json)));
+      switch (store.commit(transaction).join()) {
+        case CommitResult.Committed committed ->
+            logger.atWarning().log(
+                "the store held a configuration older than %d and was restored from an older copy;"
+                    + " wrote configuration %d back",
+                number, number);
+        case CommitResult.Conflict conflict ->
+            logger.atInfo().log(
+                "the head of the configuration changed before configuration %d was written back",
+                number);
+      }
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a head row can't be written", e);
+    } catch (CompletionException e) {
+      logger.atWarning().log(
+          "configuration %d can't be written back: %s", number, e.getCause().getMessage());
+    }
+  }
+
   private void fetchFromPeer(final NodeId peer) {
     sources.get(peer).requestText();
     executor.schedule(
--- /dev/null
+++ b/src/test/java/org/bulrushweir/node/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the parts that all processes of a fleet have. */
+package org.bulrushweir.node;
