A fencing token that a restored store gives out again has one holder

Cause: the token was taken for the identity of the holder. Change: the check compares the sidecar's incarnation, which the row has, too.

--- a/src/main/java/org/bulrushweir/placement/FenceRow.java
+++ b/src/main/java/org/bulrushweir/placement/FenceRow.java
@@ -21,4 +21,16 @@
   public static String key(final EndpointId endpoint) {
     return "fences/" + endpoint.value();
   }
+
+  /**
+   * Returns whether a sidecar holds the right. The token alone does not tell, since a store that
+   * was restored from an older copy gives it out again.
+   *
+   * @param heldToken the fencing token that the sidecar was given
+   * @param heldIncarnation the incarnation of the sidecar
+   * @return true if the row is the sidecar's
+   */
+  public boolean isHeldBy(final long heldToken, final long heldIncarnation) {
+    return token == heldToken && incarnation == heldIncarnation;
+  }
 }
--- a/src/main/java/org/bulrushweir/sidecar/OrderService.java
+++ b/src/main/java/org/bulrushweir/sidecar/OrderService.java
@@ -226,7 +226,9 @@
 
   private OrderEvent checkFence(final long token) {
     final Row row = store.read(FenceRow.key(endpoint)).join();
-    final boolean held = row.exists() && read(row.value(), FenceRow.class).token() == token;
+    final boolean held =
+        row.exists()
+            && read(row.value(), FenceRow.class).isHeldBy(token, self.incarnation().value());
     return held ? new OrderEvent.FenceHeld(token) : new OrderEvent.FenceLost();
   }
 
