--- /dev/null
+++ b/src/test/java/org/bulrushweir/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of sidecars. */
+package org.bulrushweir.sidecar;
