--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/ForwardingTableListener.java
@@ -0,0 +1,44 @@
+package org.bulrushweir.gateway;
+
+import java.util.List;
+import org.bulrushweir.store.RowChange;
+
+/** Forwards all notifications to another listener. Subclasses react to some of them besides. */
+class ForwardingTableListener implements TableListener {
+
+  private final TableListener target;
+
+  /**
+   * Creates a forwarding listener.
+   *
+   * @param target receives all notifications
+   */
+  ForwardingTableListener(final TableListener target) {
+    this.target = target;
+  }
+
+  @Override
+  public void onSnapshot(final List<RowChange> rows) {
+    target.onSnapshot(rows);
+  }
+
+  @Override
+  public void onChanges(final List<RowChange> rows) {
+    target.onChanges(rows);
+  }
+
+  @Override
+  public void onUpToDate() {
+    target.onUpToDate();
+  }
+
+  @Override
+  public void onRestored(final long pollStartedMs) {
+    target.onRestored(pollStartedMs);
+  }
+
+  @Override
+  public void onUnreachable(final long pollStartedMs) {
+    target.onUnreachable(pollStartedMs);
+  }
+}
--- a/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
@@ -2,12 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.store.ChangeFeed;
 import org.bulrushweir.store.ChangePage;
-import org.bulrushweir.store.RowChange;
 import org.bulrushweir.store.SharedTable;
 
 /** Registers this gateway in the store and periodically reads the registrations of the others. */
@@ -60,32 +58,12 @@
    * @return the wrapping listener
    */
   TableListener wrap(final TableListener listener) {
-    return new TableListener() {
-      @Override
-      public void onSnapshot(final List<RowChange> rows) {
-        listener.onSnapshot(rows);
-      }
-
-      @Override
-      public void onChanges(final List<RowChange> rows) {
-        listener.onChanges(rows);
-      }
-
-      @Override
-      public void onUpToDate() {
-        listener.onUpToDate();
-      }
-
+    return new ForwardingTableListener(listener) {
       @Override
       public void onRestored(final long pollStartedMs) {
-        listener.onRestored(pollStartedMs);
+        super.onRestored(pollStartedMs);
         register();
       }
-
-      @Override
-      public void onUnreachable(final long pollStartedMs) {
-        listener.onUnreachable(pollStartedMs);
-      }
     };
   }
 
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -80,31 +80,16 @@
    * @return the wrapping listener
    */
   TableListener wrap(final SharedTable table, final TableListener listener) {
-    return new TableListener() {
+    return new ForwardingTableListener(listener) {
       @Override
       public void onSnapshot(final List<RowChange> rows) {
-        listener.onSnapshot(rows);
+        super.onSnapshot(rows);
         tableRead(table);
       }
 
-      @Override
-      public void onChanges(final List<RowChange> rows) {
-        listener.onChanges(rows);
-      }
-
-      @Override
-      public void onUpToDate() {
-        listener.onUpToDate();
-      }
-
-      @Override
-      public void onRestored(final long pollStartedMs) {
-        listener.onRestored(pollStartedMs);
-      }
-
       @Override
       public void onUnreachable(final long pollStartedMs) {
-        listener.onUnreachable(pollStartedMs);
+        super.onUnreachable(pollStartedMs);
         if (isClosed()) {
           open();
         }
