Whether a connection is kept follows from the framing of its response

A response that has no body by its status or method counts as framed now, so its connection is kept. Tests of gateway, endless bytes and unframed responses pass.

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -13,6 +13,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.platform.ResponseTranslator;
+import org.bulrushweir.relay.ResponseFraming;
 
 /**
  * A connection to an endpoint, which handles one request at a time.
@@ -162,13 +163,11 @@
       return;
     }
     headReceived = true;
-    keepAlive =
-        HttpUtil.isKeepAlive(response)
-            && (HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response));
+    final ResponseFraming framing = decoder.framing(response);
+    keepAlive = HttpUtil.isKeepAlive(response) && framing != ResponseFraming.CONNECTION;
     ResponseTranslator.idleTimeoutMs(response)
         .ifPresent(ms -> idleLimitMs = (long) (KEEP_ALIVE_TIMEOUT_SHARE * ms));
-    listener.onHead(response, decoder.framing(response));
+    listener.onHead(response, framing);
   }
 
   private void handleContent(final HttpContent content) {
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -36,6 +36,7 @@
    * Returns by what the end of a response's body is recognised.
    *
    * @param response the head of the response to the current request
+   * @return the framing
    */
   ResponseFraming framing(final HttpResponse response) {
     if (isContentAlwaysEmpty(response)) {
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -133,7 +133,11 @@
     return framing;
   }
 
-  /** Returns whether the part of a stream that has arrived ends inside an event. */
+  /**
+   * Returns whether the part of a stream that has arrived ends inside an event.
+   *
+   * @return false for responses that are no streams
+   */
   boolean isInsideEvent() {
     return routed.forwardsCompleteEvents() ? !framer.isAtEventBoundary() : scanner.isInsideEvent();
   }
