A gateway does not serve by a plan that was older than a peer's at its start

Cause: the first configuration that a process reads was taken for the newest. Change: if a peer reports a newer plan before the first one was read or within 2 s after it, the process is not ready and answers 503 until it has a plan as new, or no peer reports one.

--- a/src/main/java/org/bulrushweir/catalog/ActivePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ActivePlan.java
@@ -15,10 +15,22 @@
    */
   static final long CONFIRMATION_VALID_MS = 2_600;
 
+  /**
+   * The time after the first plan was read within which a newer plan of a peer means that the store
+   * was behind, in milliseconds: several intervals of the peers' reports.
+   */
+  static final long START_MS = 2_000;
+
+  /** The time for which a peer's report on its plan counts, in milliseconds. */
+  static final long PEER_REPORT_VALID_MS = 3_000;
+
   private RoutingPlan current;
   private long confirmedAtMs = Long.MIN_VALUE / 2;
   private long versionToConfirm;
   private long newestPeerVersion;
+  private long newestPeerHeardMs = Long.MIN_VALUE / 2;
+  private long firstReadMs = Long.MIN_VALUE / 2;
+  private boolean startedBehind;
 
   /**
    * Puts a plan in force if it is newer than the present one.
@@ -30,7 +42,9 @@
     if (current != null && plan.version() <= current.version()) {
       return false;
     }
+    final boolean first = current == null;
     current = plan;
+    startedBehind = (first || startedBehind) && plan.version() < newestPeerVersion;
     return true;
   }
 
@@ -56,6 +70,9 @@
     if (version >= versionToConfirm) {
       versionToConfirm = 0;
     }
+    if (firstReadMs < 0) {
+      firstReadMs = nowMs;
+    }
     recordConfirmation(nowMs);
   }
 
@@ -73,9 +90,32 @@
    * not know what the newer one provides for.
    *
    * @param version the version of the other gateway's plan
+   * @param nowMs the current time, in Unix milliseconds
    */
-  public void recordPeerVersion(final long version) {
-    newestPeerVersion = Math.max(newestPeerVersion, version);
+  public void recordPeerVersion(final long version, final long nowMs) {
+    if (version >= newestPeerVersion) {
+      newestPeerVersion = version;
+      newestPeerHeardMs = nowMs;
+    }
+    startedBehind |= isPeerAhead(nowMs) && nowMs - firstReadMs <= START_MS;
+  }
+
+  private boolean isPeerAhead(final long nowMs) {
+    return current != null
+        && newestPeerVersion > current.version()
+        && nowMs - newestPeerHeardMs <= PEER_REPORT_VALID_MS;
+  }
+
+  /**
+   * Returns whether this process has started on a plan that was older than that of a peer, as the
+   * store was restored from an older copy. It must not serve by that plan, which may allow what was
+   * withdrawn since.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false once a plan as new as the peer's was read, or no peer reports a newer one
+   */
+  public boolean isBehindSinceStart(final long nowMs) {
+    return startedBehind && isPeerAhead(nowMs);
   }
 
   /**
@@ -95,9 +135,7 @@
    * @return false if there is no plan, a peer's is newer or the last confirmation is too old
    */
   public boolean isConfirmed(final long nowMs) {
-    return current != null
-        && current.version() >= newestPeerVersion
-        && nowMs - confirmedAtMs <= CONFIRMATION_VALID_MS;
+    return current != null && !isPeerAhead(nowMs) && nowMs - confirmedAtMs <= CONFIRMATION_VALID_MS;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -153,11 +153,14 @@
   /**
    * Returns whether this process accepts new requests.
    *
-   * @return false until the first plan is active and the start gate is open, and while the process
-   *     drains
+   * @return false until the first plan is active and the start gate is open, while that plan is
+   *     older than a peer's and while the process drains
    */
   boolean isReady() {
-    return !isDraining() && !gate.isClosed() && activePlan.current().isPresent();
+    return !isDraining()
+        && !gate.isClosed()
+        && activePlan.current().isPresent()
+        && !activePlan.isBehindSinceStart(clock.nowMs());
   }
 
   boolean isDraining() {
@@ -267,6 +270,11 @@
           caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration has been read yet");
       return;
     }
+    if (activePlan.isBehindSinceStart(clock.nowMs())) {
+      refuse(
+          caller, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "a peer has a newer configuration");
+      return;
+    }
     final RoutingPlan plan = activePlan.current().get();
     final Optional<Route> route = plan.route(head.get().host(), head.get().path());
     if (route.isEmpty()) {
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -180,7 +180,7 @@
     } else {
       addOrGet(report.node(), message.getHost(), message.getPort()).lastReportMs = clock.nowMs();
     }
-    activePlan.recordPeerVersion(report.planVersion());
+    activePlan.recordPeerVersion(report.planVersion(), clock.nowMs());
     tracker.applyPeerReport(report, clock.nowMs());
     quarantine.applyReport(PeerReportCodec.decodeQuarantine(message), clock.nowMs());
     updateGatewayCount();
