ExchangeAttempt hands the end of its response to ResponseEndTracker

What tells whether a response is complete (framing, events, the decision) is a class of its own now.

--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -252,8 +252,8 @@
         currentAttempt == null || currentAttempt.response() == null
             ? 0
             : currentAttempt.response().status().code(),
-        Optional.ofNullable(currentAttempt).flatMap(ExchangeAttempt::framing),
-        currentAttempt != null && currentAttempt.isInsideEvent(),
+        Optional.ofNullable(currentAttempt).flatMap(attempt -> attempt.end().framing()),
+        currentAttempt != null && currentAttempt.end().isInsideEvent(),
         machine.attempts(),
         outcome,
         detail,
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -13,12 +13,10 @@
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.AttemptId;
-import org.bulrushweir.relay.EventBoundaryScanner;
 import org.bulrushweir.relay.EventStreamFramer;
 import org.bulrushweir.relay.RelayEvent;
 import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.relay.ResponseHead;
-import org.bulrushweir.relay.StreamEndPolicy;
 
 /**
  * One attempt: sends the request to one endpoint and forwards the response.
@@ -48,7 +46,7 @@
   private final RoutedRequest routed;
   private final CallerConnection caller;
   private final EventStreamFramer framer;
-  private final EventBoundaryScanner scanner = new EventBoundaryScanner();
+  private final ResponseEndTracker end;
   private final AttemptOwner owner;
   private final AttemptId id;
   private final EndpointId endpoint;
@@ -59,7 +57,6 @@
   private EndpointConnection connection;
   private HttpResponse response;
   private ResponseHead head;
-  private Optional<ResponseFraming> framing = Optional.empty();
   private ByteBuf buffered;
   private OptionalLong responseStartMs = OptionalLong.empty();
   private boolean prefillRecorded;
@@ -90,6 +87,7 @@
     this.routed = routed;
     this.caller = caller;
     this.framer = framer;
+    this.end = new ResponseEndTracker(routed, framer);
     this.owner = owner;
     this.id = id;
     this.endpoint = endpoint;
@@ -125,21 +123,12 @@
   }
 
   /**
-   * Returns by what the end of the response is recognised.
+   * Returns what tells whether the response is complete.
    *
-   * @return the framing, empty before the head of the response has arrived
+   * @return the tracker of its end
    */
-  Optional<ResponseFraming> framing() {
-    return framing;
-  }
-
-  /**
-   * Returns whether the part of a stream that has arrived ends inside an event.
-   *
-   * @return false for responses that are no streams
-   */
-  boolean isInsideEvent() {
-    return routed.forwardsCompleteEvents() ? !framer.isAtEventBoundary() : scanner.isInsideEvent();
+  ResponseEndTracker end() {
+    return end;
   }
 
   boolean isFinished() {
@@ -301,11 +290,11 @@
   }
 
   @Override
-  public void onHead(final HttpResponse received, final ResponseFraming receivedFraming) {
+  public void onHead(final HttpResponse received, final ResponseFraming framing) {
     response = received;
-    framing = Optional.of(receivedFraming);
     responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
+    end.onHead(framing, head.success());
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
       return;
@@ -340,7 +329,7 @@
       return;
     }
     if (!routed.forwardsCompleteEvents() || !head.success()) {
-      scan(part);
+      end.onPart(part);
       caller.write(part);
     } else {
       final byte[] events = framer.feed(ByteBufUtil.getBytes(part));
@@ -359,16 +348,6 @@
     }
   }
 
-  private void scan(final ByteBuf part) {
-    if (routed.isStream() && head.success()) {
-      part.forEachByte(
-          value -> {
-            scanner.accept(value);
-            return true;
-          });
-    }
-  }
-
   /**
    * Forwards the buffered response. Returns false if it must not be forwarded, since the attempt
    * has ended or the head was rejected.
@@ -395,7 +374,7 @@
     if (buffered != null && !forwardBuffered()) {
       return;
     }
-    final Optional<String> cut = findCut();
+    final Optional<String> cut = end.findCut();
     if (cut.isPresent()) {
       onBroken(cut.get());
       return;
@@ -406,16 +385,6 @@
     owner.handle(new RelayEvent.Ended(id));
   }
 
-  private Optional<String> findCut() {
-    if (!routed.isStream() || !head.success()) {
-      return Optional.empty();
-    }
-    final boolean hasEvents =
-        routed.head().resumeAfter().isPresent()
-            || (routed.forwardsCompleteEvents() ? framer.hasEvent() : scanner.hasEvent());
-    return StreamEndPolicy.findCut(framing.orElseThrow(), isInsideEvent(), hasEvents);
-  }
-
   @Override
   public void onBroken(final String detail) {
     responseEnded = true;
