--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -295,6 +295,7 @@
     responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
     end.onHead(framing, head.success());
+    framer.startResponse();
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
       return;
@@ -397,7 +398,6 @@
       core.crashDetector().attemptBroken(target, routed.head().prompt());
     }
     buffered = null;
-    framer.discardPartialEvent();
     core.log().recordFailedAttempt(routed, endpoint, placement, responseStartMs, "broken", detail);
     owner.handle(new RelayEvent.Broken(id, detail));
   }
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -89,8 +89,11 @@
     }
   }
 
-  /** Discards the incomplete event that was received before the stream broke off. */
-  public void discardPartialEvent() {
+  /**
+   * Starts the response of another endpoint that resumes the stream. However the response before it
+   * ended, its incomplete event is discarded: the new one repeats that event.
+   */
+  public void startResponse() {
     length = 0;
     scanner.reset();
   }
--- a/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
@@ -296,6 +296,10 @@
         context.writeAndFlush(text("id: " + number + "\nda")).addListener(done -> context.close());
         return;
       }
+      if (fault == EndpointFault.STALL && number >= stream.events() / 2) {
+        context.writeAndFlush(text("id: " + number + "\nda"));
+        return;
+      }
       context.writeAndFlush(text("id: " + number + "\ndata: part " + number + "\n\n"));
       context
           .executor()
--- a/src/main/java/org/bulrushweir/standin/EndpointFault.java
+++ b/src/main/java/org/bulrushweir/standin/EndpointFault.java
@@ -16,6 +16,8 @@
   ERROR,
   /** It breaks its answers off midway. */
   CUT,
+  /** It stops sending inside an event of its streams and keeps their connections open. */
+  STALL,
   /** It sends bytes that are no answer. */
   GARBAGE,
   /** It sends an answer to another request before each answer. */
--- a/src/test/java/org/bulrushweir/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayTest.java
@@ -119,6 +119,15 @@
     }
   }
 
+  /** Guards against a stalled event whose first half is joined with its repetition. */
+  @Test
+  void resumableStreamIsCompletedAfterAnEndpointStallsInsideAnEvent() {
+    engine1.misbehaveAs(EndpointFault.STALL);
+    for (int number = 0; number < 6; number++) {
+      assertEquals(completeStream(), send(DemoCall.draft("d" + number, number)).body());
+    }
+  }
+
   @Test
   void truncatedStreamThatMayNotBeResumedDoesNotLookComplete() {
     engine1.misbehaveAs(EndpointFault.CUT);
--- a/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
+++ b/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
@@ -37,7 +37,7 @@
   void resumedStreamStartsWithTheInterruptedEvent() {
     final EventStreamFramer framer = new EventStreamFramer(-1);
     assertEquals(event(0), feed(framer, event(0) + "id: 1\nda"));
-    framer.discardPartialEvent();
+    framer.startResponse();
     assertEquals(event(1) + event(2), feed(framer, event(0) + event(1) + event(2)));
   }
 
