--- a/src/main/java/org/bulrushweir/catalog/RoutingPlan.java
+++ b/src/main/java/org/bulrushweir/catalog/RoutingPlan.java
@@ -16,6 +16,7 @@
 
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<ServiceName, ServicePlan> services;
+  private final boolean requiresApiKeys;
   private final Map<String, Tenant> tenantsByKey;
   private final long version;
   private final CallerLimits limits;
@@ -27,6 +28,7 @@
    * @param version the version; greater versions are newer
    * @param routes the routes
    * @param services the services
+   * @param requiresApiKeys whether callers need an API key on routes that are not open
    * @param tenantsByKey the organisations by API key
    * @param limits the limits for callers
    */
@@ -34,11 +36,13 @@
       final long version,
       final List<Route> routes,
       final List<ServicePlan> services,
+      final boolean requiresApiKeys,
       final Map<String, Tenant> tenantsByKey,
       final CallerLimits limits) {
     this.version = version;
     this.services = new HashMap<>();
     services.forEach(service -> this.services.put(service.name(), service));
+    this.requiresApiKeys = requiresApiKeys;
     this.tenantsByKey = Map.copyOf(tenantsByKey);
     this.limits = limits;
     this.routeCount = routes.size();
@@ -78,10 +82,10 @@
   /**
    * Returns whether callers need an API key on routes that are not open.
    *
-   * @return true if any organisation has a key
+   * @return true if the configuration lists organisations, also if none of them has a key
    */
   public boolean requiresApiKeys() {
-    return !tenantsByKey.isEmpty();
+    return requiresApiKeys;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -26,6 +26,8 @@
   /** The key of the row that holds the configuration. */
   public static final String ROW_KEY = "config";
 
+  private static final String TENANTS = "tenants";
+
   /** The time-out of a route that names none, in milliseconds: a minute, as is usual for HTTP. */
   private static final long DEFAULT_TIMEOUT_MS = 60_000;
 
@@ -56,6 +58,7 @@
             root.integer("version"),
             routes(root),
             services(root),
+            root.has(TENANTS),
             tenants(root),
             root.has("limits") ? limits(root.child("limits")) : CallerLimits.DEFAULT));
   }
@@ -138,8 +141,8 @@
 
   private static Map<String, Tenant> tenants(final JsonReader root) {
     final Map<String, Tenant> tenants = new HashMap<>();
-    for (int index = 0; index < root.size("tenants"); index++) {
-      final JsonReader reader = root.element("tenants", index);
+    for (int index = 0; index < root.size(TENANTS); index++) {
+      final JsonReader reader = root.element(TENANTS, index);
       final OptionalInt priority =
           reader.has("priority")
               ? OptionalInt.of((int) reader.integer("priority"))
--- a/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
+++ b/src/test/java/org/bulrushweir/catalog/ActivePlanTest.java
@@ -19,7 +19,7 @@
   private static final String SEED = "31";
 
   private static RoutingPlan plan(final long version) {
-    return new RoutingPlan(version, List.of(), List.of(), Map.of(), CallerLimits.DEFAULT);
+    return new RoutingPlan(version, List.of(), List.of(), false, Map.of(), CallerLimits.DEFAULT);
   }
 
   @Property(seed = SEED)
--- a/src/test/java/org/bulrushweir/catalog/RoutingPlanTest.java
+++ b/src/test/java/org/bulrushweir/catalog/RoutingPlanTest.java
@@ -38,6 +38,7 @@
             1,
             List.of(route("/a/", service("one", 1)), route("/a/b/", service("two", 1))),
             List.of(),
+            false,
             Map.of(),
             CallerLimits.DEFAULT);
     assertEquals("/a/b/", plan.route("a.example", "/a/b/c").orElseThrow().prefix());
--- a/src/test/java/org/bulrushweir/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayTest.java
@@ -271,6 +271,24 @@
     assertEquals(401, send(DemoCall.booking("b3")).status(), "an older version must be ignored");
   }
 
+  /** Guards against routes that are open to everybody once the last key is withdrawn. */
+  @Test
+  void requestsAreRefusedAfterTheLastKeyIsWithdrawn() throws InterruptedException {
+    fleet.configure(
+        ExampleConfiguration.text(5).replaceAll("\"api_keys\": *\\[[^]]*]", "\"api_keys\":[]"));
+    awaitStatus(DemoCall.booking("b1"), 401);
+    final DemoCall keyless =
+        new DemoCall(
+            "b2",
+            DemoCall.booking("b2").host(),
+            DemoCall.booking("b2").path(),
+            "",
+            "",
+            DemoCall.booking("b2").body());
+    assertEquals(401, send(keyless).status());
+    assertEquals(0, runCount("b2"));
+  }
+
   @Test
   void gatewayWithOutdatedPlanRefusesUnknownRoutesOnlyTemporarily() throws InterruptedException {
     final DemoCall unknown = new DemoCall("u1", "chat.example", "/new/", DemoCall.KEY, "", "");
--- a/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.catalog.RequestKind;
@@ -46,6 +47,28 @@
         findings.findings().getFirst().toString());
   }
 
+  private RoutingPlan decodeTenants(final String tenants) {
+    return decoder
+        .decode("{\"version\": 3, \"routes\": []" + tenants + "}", findings)
+        .orElseThrow();
+  }
+
+  /** Guards against routes that are open to everybody because no key can be read. */
+  @Test
+  void configurationWithTenantsRequiresKeysWhateverTheyHold() {
+    for (final String tenants :
+        List.of(
+            "[{\"name\": \"a\", \"api_keys\": []}]",
+            "[{\"name\": \"a\"}]",
+            "[{\"name\": \"an invalid name\", \"api_keys\": [\"k\"]}]",
+            "[7]",
+            "[]",
+            "{}")) {
+      assertTrue(decodeTenants(", \"tenants\": " + tenants).requiresApiKeys(), tenants);
+    }
+    assertFalse(decodeTenants("").requiresApiKeys());
+  }
+
   @Test
   void textThatIsNoConfigurationIsRefused() {
     assertTrue(decoder.decode("{\"version\": 3}", findings).isEmpty());
