--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.bulrushweir.api.Finding;
@@ -41,8 +43,23 @@
         place + "." + field + "[" + index + "]", node.path(field).path(index), findings);
   }
 
-  String textElement(final int index) {
-    return node.path(index).asText("");
+  /**
+   * Reads the texts of an array.
+   *
+   * @param field the field
+   * @return the texts; elements that are empty or of another type are left out after a finding
+   */
+  List<String> texts(final String field) {
+    final List<String> texts = new ArrayList<>();
+    for (int index = 0; index < size(field); index++) {
+      final JsonNode element = node.path(field).path(index);
+      if (element.isTextual() && !element.textValue().isEmpty()) {
+        texts.add(element.textValue());
+      } else {
+        element(field, index).report("value", "is not a text");
+      }
+    }
+    return texts;
   }
 
   int size(final String field) {
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -147,15 +147,10 @@
           reader.has("priority")
               ? OptionalInt.of((int) reader.integer("priority"))
               : OptionalInt.empty();
-      final JsonReader keys = reader.child("api_keys");
+      final List<String> keys = reader.texts("api_keys");
       reader
           .value("name", OrganisationId::new)
-          .ifPresent(
-              name -> {
-                for (int key = 0; key < reader.size("api_keys"); key++) {
-                  tenants.put(keys.textElement(key), new Tenant(name, priority));
-                }
-              });
+          .ifPresent(name -> keys.forEach(key -> tenants.put(key, new Tenant(name, priority))));
     }
     return tenants;
   }
--- a/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -69,6 +69,20 @@
     assertFalse(decodeTenants("").requiresApiKeys());
   }
 
+  /** Guards against an empty key that opens all routes. */
+  @Test
+  void keyThatIsNoTextIsLeftOut() {
+    final RoutingPlan plan =
+        decodeTenants(
+            ", \"tenants\": [{\"name\": \"a\","
+                + " \"api_keys\": [{}, [], null, 7, \"\", \"k\"]}]");
+    assertTrue(plan.tenant("k").isPresent());
+    for (final String key : List.of("", "null", "7")) {
+      assertTrue(plan.tenant(key).isEmpty(), key);
+    }
+    assertEquals(5, findings.findings().size());
+  }
+
   @Test
   void textThatIsNoConfigurationIsRefused() {
     assertTrue(decoder.decode("{\"version\": 3}", findings).isEmpty());
