--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -127,14 +127,14 @@
    * Reads a truth value.
    *
    * @param field the field
-   * @return the value, false if it is missing
+   * @return the value, false if it is missing or after a finding
    */
   boolean flag(final String field) {
     final JsonNode value = node.path(field);
     if (has(field) && !value.isBoolean()) {
       report(field, "is not true or false");
     }
-    return value.asBoolean(false);
+    return value.isBoolean() && value.booleanValue();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -83,6 +83,23 @@
     assertEquals(5, findings.findings().size());
   }
 
+  /** Guards against a route that is open to everybody because of a flag that can't be read. */
+  @Test
+  void flagThatIsNoTruthValueIsNotSet() {
+    for (final String flag : List.of("1", "\"true\"", "[]")) {
+      final RoutingPlan plan =
+          decoder
+              .decode(
+                  "{\"version\": 3, \"routes\": [{\"host\": \"h\", \"prefix\": \"/\","
+                      + " \"kind\": \"safe\", \"service\": \"s\", \"public\": "
+                      + flag
+                      + "}]}",
+                  findings)
+              .orElseThrow();
+      assertFalse(plan.route("h", "/").orElseThrow().open(), flag);
+    }
+  }
+
   @Test
   void textThatIsNoConfigurationIsRefused() {
     assertTrue(decoder.decode("{\"version\": 3}", findings).isEmpty());
