--- a/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -29,6 +29,9 @@
  */
 public final class PromptQuarantine {
 
+  /** The time for which a crash counts, in milliseconds. */
+  static final long EVIDENCE_MS = 60_000;
+
   /** The number of crashes without an answer from which a segment is quarantined. */
   private static final int MIN_CRASHES = 3;
 
@@ -50,26 +53,26 @@
    */
   private static final long SETTLE_MS = 400;
 
-  /** The time for which a crash counts, in milliseconds. */
-  private static final long EVIDENCE_MS = 60_000;
-
-  /** The time after the last request with a segment for which it stays in quarantine. */
-  private static final long QUARANTINE_MS = 300_000;
-
   /** The time for which crashes and answers are reported again, in milliseconds. */
   private static final long REPORTED_MS = 2_000;
 
   private static final int MAX_CRASHES = 64;
   private static final int MAX_SUSPECTS = 256;
   private static final int MAX_ANSWERED = 8_192;
-  private static final int MAX_QUARANTINED = 64;
+
+  /**
+   * The number of segments that are quarantined of those that can't be told apart, so that a prompt
+   * with a long history leaves room for others.
+   */
+  private static final int MAX_TIED = QuarantinedSegments.CAPACITY / 4;
+
   private static final int MAX_REPORTED_CRASHES = 8;
   private static final int MAX_REPORTED_SUSPECTS = 32;
   private static final int MAX_REPORTED_ANSWERS = 64;
 
   private final Map<EndpointRun, Crash> crashes = boundedMap(MAX_CRASHES, false);
   private final Map<Long, Long> answeredAtMs = boundedMap(MAX_ANSWERED, true);
-  private final Map<Long, Long> quarantinedRequestAtMs = boundedMap(MAX_QUARANTINED, false);
+  private final QuarantinedSegments quarantined = new QuarantinedSegments();
 
   private static <K, V> Map<K, V> boundedMap(final int capacity, final boolean accessOrder) {
     return new LinkedHashMap<>(16, 0.75f, accessOrder) {
@@ -112,7 +115,7 @@
 
   private void clear(final long segment, final long answeredMs) {
     answeredAtMs.merge(segment, answeredMs, Math::max);
-    quarantinedRequestAtMs.remove(segment);
+    quarantined.remove(segment);
   }
 
   /**
@@ -123,12 +126,12 @@
    * @return the id of the segment, empty if the request may be sent to engines
    */
   public OptionalLong findQuarantined(final List<PromptSegment> prompt, final long nowMs) {
-    if (quarantinedRequestAtMs.isEmpty()) {
+    if (quarantined.isEmpty()) {
       return OptionalLong.empty();
     }
     for (final PromptSegment segment : PromptSegment.shared(prompt)) {
-      if (quarantinedRequestAtMs.containsKey(segment.id())) {
-        quarantinedRequestAtMs.put(segment.id(), nowMs);
+      if (quarantined.contains(segment.id())) {
+        quarantined.add(segment.id(), nowMs, nowMs);
         return OptionalLong.of(segment.id());
       }
     }
@@ -141,7 +144,7 @@
    * @return the number
    */
   public int size() {
-    return quarantinedRequestAtMs.size();
+    return quarantined.size();
   }
 
   /**
@@ -152,19 +155,31 @@
    */
   public List<Long> update(final long nowMs) {
     crashes.values().removeIf(crash -> nowMs - crash.seenAtMs > EVIDENCE_MS);
-    quarantinedRequestAtMs.values().removeIf(requestMs -> nowMs - requestMs > QUARANTINE_MS);
+    quarantined.removeUnused(nowMs);
     final List<Long> added = new ArrayList<>();
-    Set<Long> found = mostSuspect(nowMs);
+    List<Long> found = quarantineMostSuspect(nowMs);
+    // Each round adds a segment, and no later round displaces it: the capacity bounds the rounds.
     while (!found.isEmpty()) {
-      for (final long segment : found) {
-        quarantinedRequestAtMs.put(segment, nowMs);
-        added.add(segment);
-      }
-      found = mostSuspect(nowMs);
+      added.addAll(found);
+      found = quarantineMostSuspect(nowMs);
     }
     return added;
   }
 
+  /**
+   * Quarantines the segments that explain most crashes. Of many that can't be told apart, all
+   * gateways choose the same.
+   *
+   * @return the segments for which there was room, empty if there are none
+   */
+  private List<Long> quarantineMostSuspect(final long nowMs) {
+    return mostSuspect(nowMs).stream()
+        .sorted()
+        .limit(MAX_TIED)
+        .filter(segment -> quarantined.add(segment, nowMs, nowMs))
+        .toList();
+  }
+
   /** Returns the segments that explain most crashes, empty if the evidence does not suffice. */
   private Set<Long> mostSuspect(final long nowMs) {
     int most = MIN_CRASHES;
@@ -227,7 +242,7 @@
   private List<Crash> unexplainedCrashes(final long nowMs) {
     return crashes.values().stream()
         .filter(crash -> nowMs - crash.seenAtMs >= SETTLE_MS)
-        .filter(crash -> crash.suspects.stream().noneMatch(quarantinedRequestAtMs::containsKey))
+        .filter(crash -> crash.suspects.stream().noneMatch(quarantined::contains))
         .sorted((one, other) -> Long.compare(one.seenAtMs, other.seenAtMs))
         .toList();
   }
@@ -240,7 +255,9 @@
    */
   public QuarantineReport report(final long nowMs) {
     final List<EndpointCrash> recent = new ArrayList<>();
-    final Set<Long> suspects = new LinkedHashSet<>(quarantinedRequestAtMs.keySet());
+    final List<SegmentAge> quarantinedAges = quarantined.ages(nowMs);
+    final Set<Long> suspects = new LinkedHashSet<>();
+    quarantinedAges.forEach(age -> suspects.add(age.segment()));
     crashes.forEach(
         (run, crash) -> {
           suspects.addAll(crash.suspects);
@@ -256,9 +273,7 @@
             .limit(MAX_REPORTED_ANSWERS)
             .map(segment -> new SegmentAge(segment, nowMs - lastAnswerMs(segment)))
             .toList(),
-        quarantinedRequestAtMs.entrySet().stream()
-            .map(entry -> new SegmentAge(entry.getKey(), nowMs - entry.getValue()))
-            .toList());
+        quarantinedAges);
   }
 
   /**
@@ -277,10 +292,9 @@
     for (final SegmentAge answered : report.answered()) {
       clear(answered.segment(), nowMs - Math.max(0, answered.ageMs()));
     }
-    for (final SegmentAge quarantined : report.quarantined()) {
-      final long requestMs = nowMs - Math.max(0, quarantined.ageMs());
-      if (!wasAnsweredRecently(quarantined.segment(), nowMs)) {
-        quarantinedRequestAtMs.merge(quarantined.segment(), requestMs, Math::max);
+    for (final SegmentAge reported : report.quarantined()) {
+      if (!wasAnsweredRecently(reported.segment(), nowMs)) {
+        quarantined.add(reported.segment(), nowMs - Math.max(0, reported.ageMs()), nowMs);
       }
     }
   }
--- a/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
@@ -2,14 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.LongStream;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.balancing.PromptSegment;
 import org.junit.jupiter.api.Test;
@@ -20,6 +23,12 @@
   private static final long INSTRUCTIONS = 1;
   private static final long CRASHING = 666;
   private static final long SETTLED_MS = 1_000;
+  private static final int MAX_QUARANTINED = 64;
+  private static final long[] ONE_HISTORY = longHistory(1_000);
+  private static final long[] OTHER_HISTORY = longHistory(2_000);
+
+  /** A gateway answers nothing during an update. */
+  private static final Duration MAX_UPDATE = Duration.ofSeconds(1);
 
   private final PromptQuarantine quarantine = new PromptQuarantine();
   private final Random random = new Random(26);
@@ -61,6 +70,61 @@
     assertFalse(isQuarantined(INSTRUCTIONS, 6_000));
   }
 
+  private static long[] longHistory(final long firstSegment) {
+    return LongStream.range(firstSegment, firstSegment + 65).toArray();
+  }
+
+  /** Lets engines crash five times under one long prompt, then five times under another one. */
+  private void crashUnderTwoLongHistories() {
+    for (int number = 1; number <= 5; number++) {
+      crash(1_000L * number, ONE_HISTORY);
+    }
+    assertTimeoutPreemptively(MAX_UPDATE, () -> quarantine.update(6_000));
+    for (int number = 6; number <= 10; number++) {
+      crash(1_000L * number, OTHER_HISTORY);
+    }
+    assertTimeoutPreemptively(MAX_UPDATE, () -> quarantine.update(11_000));
+  }
+
+  /** Guards against an update that never ends because new segments displace the ones before. */
+  @Test
+  void promptsWithMoreSegmentsThanAreKeptAreQuarantined() {
+    crashUnderTwoLongHistories();
+    assertTrue(quarantine.findQuarantined(prompt(ONE_HISTORY), 11_000).isPresent());
+    assertTrue(quarantine.findQuarantined(prompt(OTHER_HISTORY), 11_000).isPresent());
+    assertEquals(List.of(), quarantine.update(11_200), "the quarantined segments must stay");
+    assertTrue(quarantine.size() <= MAX_QUARANTINED);
+  }
+
+  /** Guards against two gateways that displace each other's segments by their reports. */
+  @Test
+  void reportsOfPeersDisplaceNoSegmentInUse() {
+    crashUnderTwoLongHistories();
+    for (int peer = 0; peer < 4; peer++) {
+      final List<SegmentAge> quarantined =
+          LongStream.of(longHistory(10_000 + 1_000 * peer))
+              .mapToObj(segment -> new SegmentAge(segment, 0))
+              .toList();
+      quarantine.applyReport(new QuarantineReport(List.of(), List.of(), quarantined), 11_000);
+    }
+    assertTrue(quarantine.findQuarantined(prompt(ONE_HISTORY), 11_000).isPresent());
+    assertTrue(quarantine.findQuarantined(prompt(OTHER_HISTORY), 11_000).isPresent());
+    assertTrue(quarantine.size() <= MAX_QUARANTINED);
+  }
+
+  @Test
+  void fullQuarantineTakesNewSegmentsOnceOldOnesAreOutOfUse() {
+    final List<SegmentAge> quarantined =
+        LongStream.of(longHistory(10_000)).mapToObj(segment -> new SegmentAge(segment, 0)).toList();
+    quarantine.applyReport(new QuarantineReport(List.of(), List.of(), quarantined), 0);
+    for (int number = 1; number <= 3; number++) {
+      crash(100_000 + 1_000L * number, number, CRASHING);
+    }
+    assertEquals(List.of(CRASHING), quarantine.update(104_000));
+    assertTrue(isQuarantined(CRASHING, 104_000));
+    assertTrue(quarantine.size() <= MAX_QUARANTINED);
+  }
+
   @Test
   void answerClearsSegmentOfSoundRequests() {
     for (int second = 1; second <= 20; second++) {
