--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -146,10 +146,12 @@
    * @return the value, empty after a finding
    */
   <T> Optional<T> value(final String field, final Function<String, T> constructor) {
-    final String text = text(field);
-    if (text.isEmpty()) {
+    final JsonNode value = node.path(field);
+    if (!value.isTextual() || value.textValue().isEmpty()) {
+      report(field, value.isTextual() ? "is empty" : "is not a text");
       return Optional.empty();
     }
+    final String text = value.textValue();
     try {
       return Optional.of(constructor.apply(text));
     } catch (IllegalArgumentException e) {
--- a/src/test/java/org/bulrushweir/platform/EndpointDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/EndpointDecoderTest.java
@@ -68,4 +68,12 @@
     assertTrue(decode(PROPER.replace("\"service\"", "\"servis\"")).isEmpty());
     assertFalse(findings.isEmpty());
   }
+
+  /** Guards against an empty text that passes for a name until it is used. */
+  @Test
+  void entryWithAnEmptyTextNamesNoEndpoint() {
+    for (final String text : List.of("assistant", "10.0.0.1:80", "zone-1", "ready")) {
+      assertTrue(decode(PROPER.replace('"' + text + '"', "\"\"")).isEmpty(), text);
+    }
+  }
 }
