--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -1,8 +1,6 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.Finding;
@@ -10,6 +8,7 @@
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.wire.RemoteAddress;
 
 /** Decodes the registrations of endpoints, which others may have written too. */
 public final class EndpointDecoder {
@@ -17,6 +16,9 @@
   private static final String READY = "ready";
   private static final String DRAINING = "draining";
 
+  /** The end of the year 9999, in Unix milliseconds. A later start is no time. */
+  private static final long MAX_START_MS = 253_402_300_799_999L;
+
   /**
    * Decodes a registration.
    *
@@ -37,11 +39,14 @@
     final Optional<EndpointId> id = id(key, reader);
     final Optional<ServiceName> service = reader.value("service", ServiceName::new);
     final Optional<ZoneName> zone = reader.value("zone", ZoneName::new);
-    final Optional<HostAndPort> address = reader.value("address", EndpointDecoder::address);
-    final int slots = (int) reader.integer("slots");
+    final Optional<RemoteAddress> address = reader.value("address", RemoteAddress::parse);
+    final int slots = reader.intNumber("slots");
     final String state = reader.text("state");
     reader.integer("sequence");
     final long startedAtMs = reader.wholeNumber("born");
+    if (startedAtMs < 0 || startedAtMs > MAX_START_MS) {
+      reader.report("born", "is out of range");
+    }
     if (!state.equals(READY) && !state.equals(DRAINING)) {
       reader.report("state", "is none that is known");
     }
@@ -52,8 +57,8 @@
         new EndpointRecord(
             id.get(),
             service.get(),
-            address.get().getHost(),
-            address.get().getPort(),
+            address.get().host(),
+            address.get().port(),
             zone.get(),
             slots,
             state.equals(DRAINING),
@@ -68,12 +73,4 @@
       return Optional.empty();
     }
   }
-
-  private static HostAndPort address(final String text) {
-    final HostAndPort address = HostAndPort.fromString(text);
-    if (!address.hasPort() || !InetAddresses.isInetAddress(address.getHost())) {
-      throw new IllegalArgumentException("\"" + text + "\" is not an IP number and port");
-    }
-    return address;
-  }
 }
--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -53,13 +53,19 @@
    * @return the parts that it holds; fails with a {@link PlatformException} without an answer
    */
   public CompletableFuture<List<PromptSegment>> held(final EndpointRecord engine) {
-    final HttpUrl url =
-        new HttpUrl.Builder()
-            .scheme("http")
-            .host(engine.host())
-            .port(engine.port())
-            .addPathSegment(PATH)
-            .build();
+    final HttpUrl url;
+    try {
+      url =
+          new HttpUrl.Builder()
+              .scheme("http")
+              .host(engine.host())
+              .port(engine.port())
+              .addPathSegment(PATH)
+              .build();
+    } catch (IllegalArgumentException e) {
+      return CompletableFuture.failedFuture(
+          new PlatformException("the engine's address can't be used", false, e));
+    }
     final CompletableFuture<List<PromptSegment>> future = new CompletableFuture<>();
     client.newCall(new Request.Builder().url(url).build()).enqueue(new PartsCallback(future));
     return future;
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -101,6 +101,10 @@
       report(field, "is not a number");
       return 0;
     }
+    if (!value.canConvertToLong()) {
+      report(field, "is out of range");
+      return 0;
+    }
     return value.longValue();
   }
 
@@ -108,6 +112,21 @@
     return has(field) ? integer(field) : fallback;
   }
 
+  /**
+   * Reads a whole number of 32 bits.
+   *
+   * @param field the field
+   * @return the number, zero after a finding
+   */
+  int intNumber(final String field) {
+    final long value = integer(field);
+    if (value != (int) value) {
+      report(field, "is out of range");
+      return 0;
+    }
+    return (int) value;
+  }
+
   /**
    * Reads a number that must be written without a fraction or exponent.
    *
--- a/src/test/java/org/bulrushweir/platform/EndpointDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/EndpointDecoderTest.java
@@ -76,4 +76,21 @@
       assertTrue(decode(PROPER.replace('"' + text + '"', "\"\"")).isEmpty(), text);
     }
   }
+
+  /** Guards against addresses and numbers that no process can use. */
+  @Test
+  void entryWithValuesOutOfRangeNamesNoEndpoint() {
+    for (final String port : List.of("0", "65536", "99999999999")) {
+      assertTrue(decode(PROPER.replace(":80\"", ":" + port + "\"")).isEmpty(), port);
+    }
+    for (final String host : List.of("[fe80::1%eth0]", "[::1%1]")) {
+      assertTrue(decode(PROPER.replace("10.0.0.1:80", host + ":80")).isEmpty(), host);
+    }
+    for (final String number : List.of("1e400", "-1e400", "9".repeat(30), "9".repeat(5_000))) {
+      assertTrue(decode(PROPER.replace("\"slots\":8", "\"slots\":" + number)).isEmpty(), number);
+    }
+    for (final long start : List.of(Long.MAX_VALUE, Long.MIN_VALUE, -1L)) {
+      assertTrue(decode(PROPER.replace("" + STARTED_AT_MS, "" + start)).isEmpty(), "" + start);
+    }
+  }
 }
