--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -21,6 +21,9 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** The shortest time between two log lines on a listener that fails, in seconds. */
+  private static final int FAILURE_LOG_INTERVAL_S = 10;
+
   private final ChangeFeed feed;
   private final SharedTable table;
   private final TableListener listener;
@@ -78,11 +81,27 @@
   }
 
   private void onPolled(final ChangePage page, final Throwable failure) {
-    if (failure != null) {
-      onFailure(failure instanceof CompletionException ? failure.getCause() : failure);
-      return;
+    try {
+      if (failure == null) {
+        onPage(page);
+      } else {
+        onFailure(failure instanceof CompletionException ? failure.getCause() : failure);
+      }
+    } catch (RuntimeException | Error e) {
+      onListenerFailure(e);
     }
-    retryDelayMs = PollTimings.INITIAL_RETRY_MS;
+  }
+
+  /** Goes on with a snapshot, since the listener may have applied a part of the rows only. */
+  private void onListenerFailure(final Throwable failure) {
+    logger.atSevere().atMostEvery(FAILURE_LOG_INTERVAL_S, TimeUnit.SECONDS).withCause(failure).log(
+        "applying the rows of table %s after version %d failed; reading a snapshot",
+        table, version);
+    snapshotRead = false;
+    pollAfterRetryDelay();
+  }
+
+  private void onPage(final ChangePage page) {
     if (!reachable) {
       reachable = true;
       logger.atInfo().log(
@@ -106,6 +125,7 @@
     }
     snapshotRead = true;
     version = page.version();
+    retryDelayMs = PollTimings.INITIAL_RETRY_MS;
     if (page.rows().isEmpty()) {
       poll();
       return;
@@ -138,6 +158,10 @@
           table, version, failure.getMessage());
     }
     listener.onUnreachable(pollStartedMs);
+    pollAfterRetryDelay();
+  }
+
+  private void pollAfterRetryDelay() {
     final long delayMs = retryDelayMs / 2 + ThreadLocalRandom.current().nextLong(retryDelayMs);
     retryDelayMs = Math.min(PollTimings.MAX_RETRY_MS, 2 * retryDelayMs);
     loop.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
@@ -70,6 +70,31 @@
     assertEquals(feed.calls, received.size(), "every response must reach the listener");
   }
 
+  /** Guards against a follower that stops for good because its listener fails once. */
+  @Test
+  void tableIsFollowedAfterTheListenerHasFailed() {
+    final ScriptedFeed scripted = new ScriptedFeed();
+    final TableListener failing =
+        new ForwardingTableListener(listener()) {
+          @Override
+          public void onChanges(final List<RowChange> rows) {
+            throw new IllegalStateException("fails on purpose");
+          }
+        };
+    new TableFollower(scripted, SharedTable.ENDPOINTS, failing, channel.eventLoop(), () -> 0)
+        .start();
+    channel.runPendingTasks();
+    scripted.set("endpoint-1", "{}");
+    scripted.set("endpoint-2", "{}");
+    for (int step = 0; step < 100; step++) {
+      channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+      channel.runPendingTasks();
+    }
+    assertEquals(2, received.size(), "the rows must come with the next snapshot");
+    assertTrue(scripted.snapshots() <= 3, "snapshots: " + scripted.snapshots());
+  }
+
   /** Returns one change immediately on every call. */
   private static final class BusyFeed implements ChangeFeed {
 
