--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -13,6 +13,7 @@
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.platform.EngineCacheClient;
 import org.bulrushweir.quarantine.PromptQuarantine;
@@ -217,9 +218,15 @@
     followers.forEach(TableFollower::start);
     final EventLoop loop = loops.loop();
     loop.scheduleWithFixedDelay(
-        this::expireAndReport, REPORT_INTERVAL_MS, REPORT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new PeriodicTask("report to peers", this::expireAndReport),
+        REPORT_INTERVAL_MS,
+        REPORT_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
-        pool::closeExpired, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new PeriodicTask("close idle connections", pool::closeExpired),
+        SWEEP_INTERVAL_MS,
+        SWEEP_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "started in zone %s: callers %s, readiness %s, peers %s, platform %s",
         settings.zone(),
--- a/src/main/java/org/bulrushweir/node/FleetService.java
+++ b/src/main/java/org/bulrushweir/node/FleetService.java
@@ -14,6 +14,7 @@
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.membership.AgedReport;
 import org.bulrushweir.membership.EndpointBackoff;
 import org.bulrushweir.membership.EndpointInfo;
@@ -99,7 +100,10 @@
   public void start() {
     executor.scheduleWithFixedDelay(this::poll, 0, pollIntervalMs, TimeUnit.MILLISECONDS);
     executor.scheduleWithFixedDelay(
-        this::forgetSilent, FORGET_INTERVAL_MS, FORGET_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new PeriodicTask("forget silent endpoints", this::forgetSilent),
+        FORGET_INTERVAL_MS,
+        FORGET_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/router/EndpointLinkService.java
+++ b/src/main/java/org/bulrushweir/router/EndpointLinkService.java
@@ -8,6 +8,7 @@
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.PeerService;
 import org.bulrushweir.timeline.EventLog;
@@ -45,7 +46,10 @@
   @Override
   public void start() {
     timer.scheduleAtFixedRate(
-        () -> links.values().forEach(EndpointLink::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        new PeriodicTask("link timers", () -> links.values().forEach(EndpointLink::tick)),
+        TICK_MS,
+        TICK_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/sidecar/OrderService.java
+++ b/src/main/java/org/bulrushweir/sidecar/OrderService.java
@@ -23,6 +23,7 @@
 import org.bulrushweir.engine.EngineProtocol;
 import org.bulrushweir.engine.OrderResult;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.placement.FenceRow;
@@ -125,7 +126,8 @@
 
   @Override
   public void start() {
-    executor.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    executor.scheduleWithFixedDelay(
+        new PeriodicTask("engine orders", this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/sidecar/SidecarService.java
+++ b/src/main/java/org/bulrushweir/sidecar/SidecarService.java
@@ -14,6 +14,7 @@
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.engine.EngineClient;
 import org.bulrushweir.kernel.KernelService;
+import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.node.ConfigService;
 import org.bulrushweir.node.FleetService;
 import org.bulrushweir.node.GossipService;
@@ -139,7 +140,8 @@
   public void start() {
     peers.addAcceptedListener(core);
     configuration.addListener(core::reconfigure);
-    timer.scheduleAtFixedRate(core::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(
+        new PeriodicTask("sidecar timers", core::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
--- /dev/null
+++ b/src/test/java/org/bulrushweir/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the micro-kernel. */
+package org.bulrushweir.kernel;
