--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -19,6 +19,7 @@
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.RowChange;
 import org.bulrushweir.wire.DatagramTransport;
+import org.bulrushweir.wire.RemoteAddress;
 import org.bulrushweir.wire.generated.RouterReport;
 
 /**
@@ -130,23 +131,23 @@
     for (final RowChange row : rows) {
       if (row.value().isPresent() && !row.key().equals(self.value())) {
         try {
-          final HostAndPort parsed = HostAndPort.fromString(row.value().get());
-          addOrGet(new NodeId(row.key()), parsed.getHost(), parsed.getPort());
-        } catch (IllegalArgumentException | IllegalStateException e) {
-          logger.atWarning().log("ignoring the invalid registration of gateway %s", row.key());
+          addOrGet(new NodeId(row.key()), RemoteAddress.parse(row.value().get()));
+        } catch (IllegalArgumentException e) {
+          logger.atWarning().log(
+              "ignoring the invalid registration of gateway %s: %s", row.key(), e.getMessage());
         }
       }
     }
     updateGatewayCount();
   }
 
-  private Peer addOrGet(final NodeId node, final String host, final int port) {
+  private Peer addOrGet(final NodeId node, final RemoteAddress peerAddress) {
     final Peer existing = peers.get(node);
-    if (existing != null && existing.host.equals(host) && existing.port == port) {
+    if (existing != null && existing.address.equals(peerAddress)) {
       return existing;
     }
-    logger.atInfo().log("added peer %s at %s:%d", node, host, port);
-    final Peer peer = new Peer(host, port, clock.nowMs());
+    logger.atInfo().log("added peer %s at %s:%d", node, peerAddress.host(), peerAddress.port());
+    final Peer peer = new Peer(peerAddress, clock.nowMs());
     peers.put(node, peer);
     return peer;
   }
@@ -164,13 +165,14 @@
    * @param datagram the encoded report
    */
   void receive(final byte[] datagram) {
-    final RouterReport message;
     try {
-      message = RouterReport.parseFrom(datagram);
-    } catch (InvalidProtocolBufferException e) {
+      apply(RouterReport.parseFrom(datagram));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       logger.atWarning().log("a peer's report can't be read: %s", e.getMessage());
-      return;
     }
+  }
+
+  private void apply(final RouterReport message) {
     final PeerReport report = PeerReportCodec.decode(message);
     if (report.node().equals(self)) {
       return;
@@ -178,7 +180,8 @@
     if (message.getLeaving()) {
       peers.remove(report.node());
     } else {
-      addOrGet(report.node(), message.getHost(), message.getPort()).lastReportMs = clock.nowMs();
+      final RemoteAddress peerAddress = new RemoteAddress(message.getHost(), message.getPort());
+      addOrGet(report.node(), peerAddress).lastReportMs = clock.nowMs();
     }
     activePlan.recordPeerVersion(report.planVersion(), clock.nowMs());
     tracker.applyPeerReport(report, clock.nowMs());
@@ -224,20 +227,18 @@
     for (final Peer peer : peers.values()) {
       if (nowMs - peer.lastReportMs <= ACTIVE_PEER_MS
           || sequence % SILENT_PEER_REPORT_DIVISOR == 0) {
-        transport.send(peer.host, peer.port, datagram);
+        transport.send(peer.address.host(), peer.address.port(), datagram);
       }
     }
   }
 
   /** The address of another gateway and the time of its last report, or when it was added. */
   private static final class Peer {
-    private final String host;
-    private final int port;
+    private final RemoteAddress address;
     private long lastReportMs;
 
-    Peer(final String host, final int port, final long lastReportMs) {
-      this.host = host;
-      this.port = port;
+    Peer(final RemoteAddress address, final long lastReportMs) {
+      this.address = address;
       this.lastReportMs = lastReportMs;
     }
   }
