--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
@@ -18,6 +19,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.store.ChangeFeed;
 import org.bulrushweir.store.ChangePage;
 import org.bulrushweir.store.CommitResult;
@@ -35,6 +37,8 @@
 /** Reaches the platform's store over HTTP; the only client of it. */
 public final class HttpPlatformStore implements PlatformStore, ChangeFeed {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final MediaType JSON = MediaType.get("application/json");
   private static final MediaType TEXT = MediaType.get("text/plain; charset=utf-8");
   private static final String NO_PARTITION = "";
@@ -119,9 +123,14 @@
   @Override
   public CompletableFuture<List<Vm>> vms() {
     return all(StorePaths.VM_TABLE, "", AFTER_ALL_KEYS)
-        .thenApply(
-            page ->
-                page.rows().stream().map(row -> readJson(decode(row.value()), Vm.class)).toList());
+        .thenApply(page -> page.rows().stream().flatMap(row -> vm(row).stream()).toList());
+  }
+
+  private static Optional<Vm> vm(final StoreMessages.RowMessage row) {
+    final FindingCollector findings = new FindingCollector();
+    final Optional<Vm> vm = VmDecoder.decode(row.key(), decode(row.value()), findings);
+    findings.findings().forEach(finding -> logger.atFine().log("%s", finding));
+    return vm;
   }
 
   @Override
@@ -321,14 +330,6 @@
         null);
   }
 
-  private <T> T readJson(final String json, final Class<T> type) {
-    try {
-      return JsonReader.MAPPER.readValue(json, type);
-    } catch (JsonProcessingException e) {
-      throw new PlatformException("the platform's answer is malformed", true, e);
-    }
-  }
-
   private CompletableFuture<Reply> send(final Request request) {
     return send(request, timeoutMs);
   }
--- a/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/PlatformStandIn.java
@@ -111,9 +111,18 @@
     return server.port();
   }
 
+  /**
+   * Sets an entry of the list of VMs, which may be one that can't be read.
+   *
+   * @param name the VM's name
+   * @param entry the entry
+   */
+  public void putVm(final String name, final String entry) {
+    state.commitLater(List.of(row(StorePaths.VM_TABLE, name, entry)), listLagMs);
+  }
+
   private void putVm(final Vm vm) throws JsonProcessingException {
-    final StoredRow row = row(StorePaths.VM_TABLE, vm.name(), mapper.writeValueAsString(vm));
-    state.commitLater(List.of(row), listLagMs);
+    putVm(vm.name(), mapper.writeValueAsString(vm));
   }
 
   private void removeVm(final String name) {
--- a/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
+++ b/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
@@ -22,6 +22,7 @@
 import org.bulrushweir.store.Row;
 import org.bulrushweir.store.SharedTable;
 import org.bulrushweir.store.Transaction;
+import org.bulrushweir.store.Vm;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -108,6 +109,36 @@
         List.of(), store.changes(SharedTable.ENDPOINTS, start.version(), 100).join().rows());
   }
 
+  /** Guards against a list of VMs that can't be read because of one entry. */
+  @Test
+  void entryOfVmsThatCanNotBeReadIsLeftOut() {
+    final String proper =
+        "{\"name\":\"e1\",\"role\":\"ENDPOINT\",\"host\":\"10.0.0.1\",\"peer_port\":7000,"
+            + "\"zone\":\"zone-1\",\"service\":\"assistant\",\"state\":\"LIVE\"}";
+    final String other = proper.replace("\"e1\"", "\"e2\"");
+    platform.putVm("e1", proper);
+    for (final String odd :
+        List.of(
+            other.replace("7000", "1e400"),
+            other.replace("7000", "9".repeat(30)),
+            other.replace("7000", "70000"),
+            other.replace("7000", "0"),
+            other.replace("\"e2\"", "null"),
+            other.replace("\"e2\"", "\"not a name\""),
+            other.replace("\"10.0.0.1\"", "null"),
+            other.replace("\"zone-1\"", "\"\""),
+            other.replace("\"LIVE\"", "\"RESTING\""),
+            other.replace("\"LIVE\"", "null"),
+            "[".repeat(20_000),
+            "null",
+            "7")) {
+      platform.putVm("e2", odd);
+      assertEquals(List.of("e1"), store.vms().join().stream().map(Vm::name).toList(), odd);
+    }
+    platform.putVm("e2", other);
+    assertEquals(2, store.vms().join().size());
+  }
+
   @Test
   void droppedHistoryIsReported() {
     platform.put(SharedTable.ENDPOINTS, "i-1", "here");
