--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -14,13 +14,14 @@
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.ResponseFraming;
+import org.bulrushweir.relay.ResponseMatch;
 
 /**
  * A connection to an endpoint, which handles one request at a time.
  *
  * <p>Informational responses are skipped, and so is a late response to an earlier request, which is
- * recognised by the request id that it echoes. Bytes that arrive while no request is waiting close
- * the connection.
+ * recognised by the request id that it echoes. A response that may be either is a failure. Bytes
+ * that arrive while no request is waiting close the connection.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -45,6 +46,7 @@
   private Channel channel;
   private ResponseListener listener;
   private String requestId;
+  private boolean reused;
   private boolean skipping;
   private int skippedResponses;
   private long skippedBytes;
@@ -97,6 +99,7 @@
   void send(
       final FullHttpRequest request, final String id, final ResponseListener responseListener) {
     listener = responseListener;
+    reused = requestId != null;
     requestId = id;
     headReceived = false;
     skippedResponses = 0;
@@ -154,17 +157,26 @@
   }
 
   private void handleHead(final HttpResponse response) {
-    skipping =
+    final ResponseMatch match =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || !ResponseTranslator.belongsTo(response, requestId);
+            ? ResponseMatch.FOREIGN
+            : ResponseMatch.of(ResponseTranslator.namedRequests(response), requestId, reused);
+    skipping = match == ResponseMatch.FOREIGN;
     if (skipping) {
       skippedResponses++;
       failIfTooMuchIsSkipped();
       return;
     }
+    if (match == ResponseMatch.AMBIGUOUS) {
+      fail("the response may belong to an earlier request");
+      return;
+    }
     headReceived = true;
     final ResponseFraming framing = decoder.framing(response);
-    keepAlive = HttpUtil.isKeepAlive(response) && framing != ResponseFraming.CONNECTION;
+    keepAlive =
+        match != ResponseMatch.OWN_UNNAMED
+            && HttpUtil.isKeepAlive(response)
+            && framing != ResponseFraming.CONNECTION;
     ResponseTranslator.idleTimeoutMs(response)
         .ifPresent(ms -> idleLimitMs = (long) (KEEP_ALIVE_TIMEOUT_SHARE * ms));
     listener.onHead(response, framing);
--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.OptionalLong;
 import org.bulrushweir.relay.ResponseHead;
 
@@ -18,15 +19,13 @@
   private ResponseTranslator() {}
 
   /**
-   * Tells whether an answer belongs to a request.
+   * Reads which requests an answer names.
    *
    * @param response the answer
-   * @param requestId the caller's id of the request
-   * @return false if the answer names another request; a failure may name none
+   * @return the different ids, empty if it names none
    */
-  public static boolean belongsTo(final HttpResponse response, final String requestId) {
-    final String echoed = response.headers().get(HeaderNames.REQUEST_ID);
-    return echoed == null || echoed.equals(requestId);
+  public static List<String> namedRequests(final HttpResponse response) {
+    return response.headers().getAll(HeaderNames.REQUEST_ID).stream().distinct().toList();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
@@ -3,14 +3,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import org.bulrushweir.platform.EndpointSide;
 
 /**
@@ -19,8 +16,6 @@
  */
 final class RawEndpoint implements AutoCloseable {
 
-  private static final String HEAD_END = "\r\n\r\n";
-  private static final String ID_HEADER = "x-request-id:";
   private static final int BACKLOG = 16;
 
   private final ServerSocket server;
@@ -67,11 +62,11 @@
 
   private void answer(final Socket socket) {
     try (socket) {
-      final String head = readHead(socket.getInputStream());
+      final RawRequest request = RawRequest.read(socket.getInputStream());
       if (end != ConnectionEnd.RESET_UNREAD) {
-        socket.getInputStream().readNBytes(contentLength(head));
+        socket.getInputStream().readNBytes(request.contentLength());
       }
-      socket.getOutputStream().write(response(header(head, ID_HEADER)));
+      socket.getOutputStream().write(response(request.id()));
       if (end != ConnectionEnd.CLOSED) {
         // Lets the body arrive first, as a reset discards what was not read.
         Thread.sleep(100);
@@ -84,31 +79,6 @@
     }
   }
 
-  private static String readHead(final InputStream input) throws IOException {
-    final ByteArrayOutputStream head = new ByteArrayOutputStream();
-    while (!head.toString(StandardCharsets.US_ASCII).endsWith(HEAD_END)) {
-      final int value = input.read();
-      if (value < 0) {
-        throw new IOException("the connection was closed before a request");
-      }
-      head.write(value);
-    }
-    return head.toString(StandardCharsets.US_ASCII);
-  }
-
-  private static int contentLength(final String head) {
-    final String length = header(head, "content-length:");
-    return length.isEmpty() ? 0 : Integer.parseInt(length);
-  }
-
-  private static String header(final String head, final String name) {
-    return head.lines()
-        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name))
-        .map(line -> line.substring(name.length()).strip())
-        .findFirst()
-        .orElse("");
-  }
-
   private byte[] response(final String requestId) {
     final HttpHeaders headers = new DefaultHttpHeaders();
     EndpointSide.seal(headers, requestId, "a seal");
