--- a/src/main/java/org/bulrushweir/engine/EngineClient.java
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -26,7 +26,13 @@
   private static final MediaType JSON = MediaType.get("application/json");
   private static final long STALL_TIMEOUT_MS = 10_000;
   private static final long CONNECT_TIMEOUT_MS = 1_000;
-  private static final int IDLE_CONNECTIONS = 64;
+
+  /**
+   * No connection is used twice: a response that the endpoint writes once more would be taken for
+   * the one to the next request, as responses name no request here.
+   */
+  private static final int IDLE_CONNECTIONS = 0;
+
   private static final String DATA_PREFIX = "data: ";
   private static final String DONE = "[DONE]";
   private static final int STATUS_NOT_FOUND = 404;
@@ -51,7 +57,7 @@
             .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
             .readTimeout(Duration.ofMillis(STALL_TIMEOUT_MS))
             .eventListener(new SentFlag.Listener())
-            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
+            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
             .build();
   }
 
--- /dev/null
+++ b/src/test/java/org/bulrushweir/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the client of an endpoint. */
+package org.bulrushweir.engine;
