--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -34,7 +34,7 @@
   private int unsentAttempts;
   private int refusals;
   private int possibleExecutions;
-  private boolean forwarding;
+  private ResponseHead forwardedHead;
   private boolean currentSent;
   private boolean currentHeadReceived;
   private boolean finished;
@@ -193,7 +193,7 @@
     currentHeadReceived = false;
     lastActivityMs = nowMs;
     excluded.add(endpoint);
-    actions.add(new RelayAction.Send(current, currentEndpoint, forwarding));
+    actions.add(new RelayAction.Send(current, currentEndpoint, isForwarding()));
   }
 
   private void headReceived(final ResponseHead head, final long nowMs) {
@@ -212,14 +212,14 @@
           nowMs);
       return;
     }
-    if (forwarding) {
+    if (isForwarding()) {
       continueWith(head, nowMs);
       return;
     }
     if (head.isServerError() && retryElsewhere(nowMs)) {
       return;
     }
-    forwarding = true;
+    forwardedHead = head;
     actions.add(new RelayAction.Forward(current));
   }
 
@@ -275,7 +275,11 @@
   private boolean mayRetry() {
     return limits.retryable()
         && possibleExecutions < limits.maxExecutions()
-        && (!forwarding || limits.resumable());
+        && (!isForwarding() || limits.resumable() && forwardedHead.success());
+  }
+
+  private boolean isForwarding() {
+    return forwardedHead != null;
   }
 
   private boolean sendRetryWithinBudget(final long nowMs) {
@@ -303,7 +307,7 @@
 
   private void deadlineExceeded() {
     actions.add(new RelayAction.Abort(current));
-    if (forwarding) {
+    if (isForwarding()) {
       finish(new RelayAction.Truncate("deadline exceeded"));
       return;
     }
@@ -319,7 +323,7 @@
   }
 
   private void endWithoutResponse() {
-    if (forwarding) {
+    if (isForwarding()) {
       finish(new RelayAction.Truncate(lastDetail));
       return;
     }
--- a/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
+++ b/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
@@ -133,6 +133,21 @@
     assertEquals(List.of(new RelayAction.Complete()), machine.on(new RelayEvent.Ended(SECOND), 40));
   }
 
+  /** Guards against a resumed stream inside an error that is already forwarded. */
+  @Test
+  void errorThatBreaksOffIsNotResumed() {
+    final ScriptedEndpoints endpoints = new ScriptedEndpoints(3, 0);
+    final RelayMachine machine = sent(RESUMABLE, endpoints);
+    assertEquals(
+        List.of(new RelayAction.Forward(FIRST)),
+        machine.on(new RelayEvent.HeadReceived(FIRST, ERROR), 10));
+    endpoints.allowRetries(5);
+    assertEquals(List.of(), machine.on(new RelayEvent.Tick(), 3_000));
+    assertEquals(
+        List.of(new RelayAction.Truncate("reset")),
+        machine.on(new RelayEvent.Broken(FIRST, "reset"), 3_010));
+  }
+
   @Test
   void stalledStreamIsAbortedBeforeItResumesAtAnotherEndpoint() {
     final RelayMachine machine = sent(RESUMABLE, new ScriptedEndpoints(2, 1));
--- a/src/test/java/org/bulrushweir/relay/ScriptedEndpoints.java
+++ b/src/test/java/org/bulrushweir/relay/ScriptedEndpoints.java
@@ -26,6 +26,11 @@
     retriesLeft = retries;
   }
 
+  /** Grants a number of further retries. */
+  void allowRetries(final int retries) {
+    retriesLeft += retries;
+  }
+
   @Override
   public Optional<EndpointId> next(final Set<EndpointId> excluded, final long nowMs) {
     return endpoints.stream().filter(endpoint -> !excluded.contains(endpoint)).findFirst();
