--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -1,8 +1,12 @@
 package org.bulrushweir.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -220,9 +224,14 @@
   private void forwardHead() {
     responseStarted = true;
     responseStartMs = core.nowMs();
-    caller.startResponse(
-        HttpResponseStatus.valueOf(currentAttempt.response().status().code()),
-        ResponseTranslator.forCaller(currentAttempt.response()));
+    final HttpResponse response = currentAttempt.response();
+    final HttpHeaders headers = ResponseTranslator.forCaller(response);
+    if (routed.forwardsCompleteEvents()
+        && response.status().codeClass() == HttpStatusClass.SUCCESS) {
+      // The length is that of one endpoint's response; another one may resume the stream.
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    }
+    caller.startResponse(HttpResponseStatus.valueOf(response.status().code()), headers);
   }
 
   private void refuse(final Refusal refusal) {
--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -223,8 +223,9 @@
     actions.add(new RelayAction.Forward(current));
   }
 
+  /** Goes on with the stream; only a response of the same status is the rest of the first one. */
   private void continueWith(final ResponseHead head, final long nowMs) {
-    if (head.success()) {
+    if (head.status() == forwardedHead.status()) {
       actions.add(new RelayAction.ForwardResumed(current));
       return;
     }
--- a/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
+++ b/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
@@ -148,6 +148,21 @@
         machine.on(new RelayEvent.Broken(FIRST, "reset"), 3_010));
   }
 
+  /** Guards against a response of another kind that ends a stream as if it were complete. */
+  @Test
+  void streamIsResumedOnlyByTheSameStatus() {
+    final RelayMachine machine = sent(RESUMABLE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.HeadReceived(FIRST, OK), 10);
+    machine.on(new RelayEvent.Broken(FIRST, "reset"), 20);
+    final List<RelayAction> actions =
+        machine.on(new RelayEvent.HeadReceived(SECOND, new ResponseHead(204, true, false, 0)), 30);
+    assertEquals(
+        List.of(
+            new RelayAction.Abort(SECOND),
+            new RelayAction.Truncate("the stream could not be resumed: status 204")),
+        actions);
+  }
+
   @Test
   void stalledStreamIsAbortedBeforeItResumesAtAnotherEndpoint() {
     final RelayMachine machine = sent(RESUMABLE, new ScriptedEndpoints(2, 1));
