--- a/src/main/java/org/bulrushweir/gateway/ResponseEndTracker.java
+++ b/src/main/java/org/bulrushweir/gateway/ResponseEndTracker.java
@@ -81,8 +81,7 @@
       return Optional.empty();
     }
     final boolean hasEvents =
-        routed.head().resumeAfter().isPresent()
-            || (routed.forwardsCompleteEvents() ? framer.hasEvent() : scanner.hasEvent());
+        routed.forwardsCompleteEvents() ? framer.hasEvent() : scanner.hasEvent();
     return StreamEndPolicy.findCut(framing.orElseThrow(), isInsideEvent(), hasEvents);
   }
 }
--- a/src/main/java/org/bulrushweir/relay/EventBoundaryScanner.java
+++ b/src/main/java/org/bulrushweir/relay/EventBoundaryScanner.java
@@ -37,10 +37,11 @@
     return true;
   }
 
-  /** Forgets the event that is incomplete. */
+  /** Starts over, as at the start of a stream. */
   public void reset() {
     lineEmpty = true;
     insideEvent = false;
+    eventSeen = false;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -118,9 +118,9 @@
   }
 
   /**
-   * Returns whether the stream had a complete event, in any of its attempts.
+   * Returns whether the current response had a complete event.
    *
-   * @return true after the first one
+   * @return true after the first one, also if the caller had it before
    */
   public boolean hasEvent() {
     return scanner.hasEvent();
--- a/src/main/java/org/bulrushweir/relay/StreamEndPolicy.java
+++ b/src/main/java/org/bulrushweir/relay/StreamEndPolicy.java
@@ -14,7 +14,8 @@
    *
    * @param framing by what the end of the body was recognised
    * @param insideEvent whether the body ended inside an event
-   * @param hasEvents whether the caller has received an event
+   * @param hasEvents whether the response had a complete event; those before it don't count, since
+   *     an endpoint that resumes a stream may crash before it has sent any
    * @return how it was cut off, empty if it is complete
    */
   public static Optional<String> findCut(
--- a/src/test/java/org/bulrushweir/gateway/FailedResumptionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/FailedResumptionTest.java
@@ -18,6 +18,7 @@
 import org.bulrushweir.platform.EndpointSide;
 import org.bulrushweir.store.SharedTable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -65,6 +66,7 @@
             BreakingStreamEndpoint.head("302 Found", ERROR_LENGTH) + ERROR,
             BreakingStreamEndpoint.head("204 No Content", ""),
             BreakingStreamEndpoint.head("206 Partial Content", ERROR_LENGTH) + ERROR,
+            BreakingStreamEndpoint.head("200 OK", ""),
             "HTTP/1.1 200 OK\r\n" + ERROR_LENGTH + "\r\n" + ERROR,
             "HTTP/1.1 500 Internal Server Error\r\n" + ERROR_LENGTH + "\r\n" + ERROR,
             "no answer at all\r\n\r\n" + ERROR);
@@ -177,4 +179,16 @@
     assertEquals(BreakingStreamEndpoint.STREAM, body(response), response);
     assertTrue(isComplete(response), response);
   }
+
+  /** Guards against an engine that ends before it has sent anything to a caller that resumes. */
+  @Test
+  void resumptionByTheCallerIsNotCompleteWithoutAnEvent() throws IOException, InterruptedException {
+    final String response =
+        stream(
+            StreamFraming.CHUNKED,
+            BreakingStreamEndpoint.head("200 OK", ""),
+            "Last-Event-Id: 1\r\n");
+    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+    assertFalse(isComplete(response), response);
+  }
 }
