--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -22,21 +22,21 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.catalog.CallerLimits;
+import org.bulrushweir.relay.CallerPipeline;
 
-/** Reads a caller's requests one at a time and writes the responses in the same order. */
+/**
+ * Reads a caller's requests and writes the responses. {@link CallerPipeline} decides which message
+ * is handled next and whether the connection stays open.
+ */
 final class CallerHandler extends ChannelInboundHandlerAdapter implements CallerConnection {
 
-  /** The number of messages of pipelined requests that are queued before reading pauses. */
-  private static final int MAX_QUEUED_MESSAGES = 16;
-
   private static final double MS_PER_SECOND = 1_000;
 
-  private final Deque<HttpObject> queued = new ArrayDeque<>();
+  private final CallerPipeline<HttpObject> pipeline = new CallerPipeline<>();
   private final GatewayCore core;
   private final CallerLimits limits;
   private final RequestHeadTimer headTimer;
@@ -45,10 +45,6 @@
   private HttpRequest request;
   private ByteBuf body;
   private Exchange exchange;
-  private boolean responding;
-  private boolean keepAlive;
-  private boolean chunked;
-  private boolean discarding;
   private long lastActivityMs;
 
   /**
@@ -78,18 +74,25 @@
 
   @Override
   public void channelRead(final ChannelHandlerContext reading, final Object message) {
-    if (discarding) {
+    if (pipeline.isClosing()) {
       ReferenceCountUtil.release(message);
       return;
     }
-    if (responding) {
-      queued.addLast((HttpObject) message);
-      if (queued.size() >= MAX_QUEUED_MESSAGES) {
-        context.channel().config().setAutoRead(false);
-      }
-      return;
+    pipeline.add((HttpObject) message);
+    handleNext();
+  }
+
+  /** Handles the messages that have arrived, up to the end of a request that is served. */
+  private void handleNext() {
+    Optional<HttpObject> next = pipeline.next();
+    while (next.isPresent()) {
+      handleMessage(next.get());
+      next = pipeline.next();
+    }
+    final boolean reads = context.channel().config().isAutoRead();
+    if (reads && pipeline.isFull() || !reads && !pipeline.hasWaiting()) {
+      context.channel().config().setAutoRead(!reads);
     }
-    handleMessage((HttpObject) message);
   }
 
   private void handleMessage(final HttpObject message) {
@@ -102,7 +105,7 @@
     if (message instanceof HttpRequest head) {
       handleHead(head);
     }
-    if (!discarding && message instanceof HttpContent content) {
+    if (!pipeline.isClosing() && message instanceof HttpContent content) {
       handleContent(content);
       return;
     }
@@ -119,7 +122,6 @@
 
   private void handleHead(final HttpRequest head) {
     request = head;
-    keepAlive = HttpUtil.isKeepAlive(head);
     if (!CallerRequestDecoder.isUnambiguous(head)) {
       refuseAndClose(HttpResponseStatus.BAD_REQUEST);
       return;
@@ -151,11 +153,11 @@
   }
 
   private void serve() {
-    responding = true;
     final HttpRequest served = request;
     final ByteBuf servedBody = body;
     request = null;
     body = null;
+    pipeline.startServing(HttpUtil.isKeepAlive(served));
     core.serve(this, served, servedBody);
   }
 
@@ -175,11 +177,9 @@
    */
   private void refuseAndClose(final HttpResponseStatus status) {
     core.log().recordRefusal("", status.code(), "unread");
-    discarding = true;
-    keepAlive = false;
-    responding = true;
     request = null;
     body = null;
+    pipeline.startServing(false);
     refuse(status, 0);
   }
 
@@ -189,19 +189,17 @@
     final boolean bodyless =
         status.code() == HttpResponseStatus.NO_CONTENT.code()
             || status.code() == HttpResponseStatus.NOT_MODIFIED.code();
-    chunked = !hasLength && !bodyless;
-    if (chunked) {
+    if (!hasLength && !bodyless) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
-    if (!updateKeepAlive()) {
-      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+    announceCloseIfLast(headers);
     context.writeAndFlush(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
   }
 
-  private boolean updateKeepAlive() {
-    keepAlive = keepAlive && !core.isDraining();
-    return keepAlive;
+  private void announceCloseIfLast(final HttpHeaders headers) {
+    if (!pipeline.startResponse(core.isDraining())) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
   }
 
   @Override
@@ -217,8 +215,7 @@
   @Override
   public void abort() {
     exchange = null;
-    responding = false;
-    discarding = true;
+    pipeline.close();
     context.close();
   }
 
@@ -229,9 +226,7 @@
     if (retryAfterMs > 0) {
       headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMs / MS_PER_SECOND));
     }
-    if (!updateKeepAlive()) {
-      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+    announceCloseIfLast(headers);
     finish(
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -244,25 +239,13 @@
   private void finish(final HttpObject last) {
     exchange = null;
     lastActivityMs = core.nowMs();
-    if (!keepAlive) {
-      discarding = true;
+    if (!pipeline.endResponse()) {
       context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
-      responding = false;
       return;
     }
     context.writeAndFlush(last, context.voidPromise());
-    responding = false;
-    if (!queued.isEmpty()) {
-      context.executor().execute(this::handleQueued);
-    }
-  }
-
-  private void handleQueued() {
-    while (!responding && !queued.isEmpty()) {
-      handleMessage(queued.removeFirst());
-    }
-    if (queued.isEmpty() && !context.channel().config().isAutoRead()) {
-      context.channel().config().setAutoRead(true);
+    if (pipeline.hasWaiting()) {
+      context.executor().execute(this::handleNext);
     }
   }
 
@@ -285,8 +268,12 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    queued.forEach(ReferenceCountUtil::release);
-    queued.clear();
+    pipeline.close();
+    for (Optional<HttpObject> message = pipeline.discard();
+        message.isPresent();
+        message = pipeline.discard()) {
+      ReferenceCountUtil.release(message.get());
+    }
     if (exchange != null) {
       final Exchange abandoned = exchange;
       exchange = null;
@@ -304,14 +291,14 @@
   /** Closes the connection if no request is being received, waits or is being answered. */
   void closeIfIdle() {
     final boolean receiving = request != null || headTimer.isHeadIncomplete();
-    if (!responding && !discarding && !receiving && queued.isEmpty()) {
+    if (!pipeline.isBusy() && !pipeline.isClosing() && !receiving && !pipeline.hasWaiting()) {
       closeAfterSending();
     }
   }
 
   /** Closes the connection once the caller has taken what was written; ignores what it sends. */
   private void closeAfterSending() {
-    discarding = true;
+    pipeline.close();
     lastActivityMs = core.nowMs();
     context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
@@ -334,7 +321,7 @@
   void recordCutOff() {
     if (exchange != null) {
       exchange.recordCutOff();
-    } else if (responding && !discarding) {
+    } else if (pipeline.isBusy()) {
       core.log().recordCutOffBeforeStart(core.stopDetail(lastActivityMs));
     }
   }
@@ -353,11 +340,11 @@
   private void checkTimeouts() {
     final long nowMs = core.nowMs();
     final boolean idle = nowMs - lastActivityMs >= limits.idleTimeoutMs();
-    if (discarding && idle) {
+    if (pipeline.isClosing() && idle) {
       context.close();
       return;
     }
-    if (!responding && !discarding) {
+    if (!pipeline.isBusy() && !pipeline.isClosing()) {
       final boolean slowHead =
           headTimer.isHeadIncomplete()
               && nowMs - headTimer.headStartedMs() >= limits.headerTimeoutMs();
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -6,19 +6,30 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.platform.EndpointSide;
 import org.bulrushweir.store.SharedTable;
 import org.junit.jupiter.api.Test;
 
@@ -70,6 +81,79 @@
         2, channel.outboundMessages().stream().filter(HttpResponse.class::isInstance).count());
   }
 
+  /** Returns the statuses of the responses, and the ends of connections that they announce. */
+  private static List<String> responses(final EmbeddedChannel channel) {
+    return channel.outboundMessages().stream()
+        .filter(HttpResponse.class::isInstance)
+        .map(HttpResponse.class::cast)
+        .map(
+            response ->
+                response.status().code()
+                    + (HttpUtil.isKeepAlive(response) ? "" : " " + HttpHeaderValues.CLOSE))
+        .toList();
+  }
+
+  /** Guards against a response in the place of an earlier request's. */
+  @Test
+  void requestThatArrivesAtTheEndOfResponseIsServedAfterThoseThatWait() {
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
+    final EmbeddedChannel channel =
+        new EmbeddedChannel(
+            new CallerHandler(
+                GatewayCoreFixture.create(directory, tracker, now::get, gate),
+                new RequestHeadTimer(now::get)));
+    channel.writeInbound(properRequest(), request());
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              GatewayCoreFixture.open(gate, directory);
+              channel.pipeline().fireChannelRead(properRequest());
+            });
+    channel.runPendingTasks();
+    assertEquals(List.of("503", "400", "503"), responses(channel));
+  }
+
+  /** Guards against a body whose rest arrives as the response before it ends. */
+  @Test
+  void requestWhoseRestArrivesAtTheEndOfResponseIsServed() {
+    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
+    final EmbeddedChannel channel =
+        new EmbeddedChannel(
+            new CallerHandler(
+                GatewayCoreFixture.create(directory, tracker, now::get, gate),
+                new RequestHeadTimer(now::get)));
+    final DefaultHttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/without-host");
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 4);
+    channel.writeInbound(properRequest(), head, new DefaultHttpContent(bytes("ab")));
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              GatewayCoreFixture.open(gate, directory);
+              channel.pipeline().fireChannelRead(new DefaultLastHttpContent(bytes("cd")));
+            });
+    channel.runPendingTasks();
+    assertEquals(List.of("503", "400"), responses(channel));
+    assertTrue(channel.isOpen());
+  }
+
+  private static ByteBuf bytes(final String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  }
+
+  /** Returns a request that is refused with 503, as there is no configuration. */
+  private static DefaultFullHttpRequest properRequest() {
+    final DefaultFullHttpRequest proper =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/look/1");
+    proper.headers().set(HttpHeaderNames.HOST, "orders.example");
+    EndpointSide.callerHeaders(proper.headers()::set, "request-1", 1_000, "");
+    return proper;
+  }
+
   @Test
   void requestDelayedAtTheStartIsRefusedAtTheExit() {
     final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
