--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -36,7 +36,7 @@
 
   private static final double MS_PER_SECOND = 1_000;
 
-  private final CallerPipeline<HttpObject> pipeline = new CallerPipeline<>();
+  private final CallerPipeline<Received> pipeline = new CallerPipeline<>();
   private final GatewayCore core;
   private final CallerLimits limits;
   private final RequestHeadTimer headTimer;
@@ -46,6 +46,7 @@
   private ByteBuf body;
   private Exchange exchange;
   private long lastActivityMs;
+  private long requestReceivedMs;
 
   /**
    * Creates the handler of one connection.
@@ -78,15 +79,15 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    pipeline.add((HttpObject) message);
+    pipeline.add(new Received((HttpObject) message, core.nowMs()));
     handleNext();
   }
 
   /** Handles the messages that have arrived, up to the end of a request that is served. */
   private void handleNext() {
-    Optional<HttpObject> next = pipeline.next();
+    Optional<Received> next = pipeline.next();
     while (next.isPresent()) {
-      handleMessage(next.get());
+      handleMessage(next.get().message(), next.get().atMs());
       next = pipeline.next();
     }
     final boolean reads = context.channel().config().isAutoRead();
@@ -95,7 +96,7 @@
     }
   }
 
-  private void handleMessage(final HttpObject message) {
+  private void handleMessage(final HttpObject message, final long receivedMs) {
     lastActivityMs = core.nowMs();
     if (message.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
@@ -103,6 +104,7 @@
       return;
     }
     if (message instanceof HttpRequest head) {
+      requestReceivedMs = receivedMs;
       handleHead(head);
     }
     if (!pipeline.isClosing() && message instanceof HttpContent content) {
@@ -158,7 +160,7 @@
     request = null;
     body = null;
     pipeline.startServing(HttpUtil.isKeepAlive(served));
-    core.serve(this, served, servedBody);
+    core.serve(this, served, servedBody, requestReceivedMs);
   }
 
   @Override
@@ -269,10 +271,10 @@
       timer.cancel(false);
     }
     pipeline.close();
-    for (Optional<HttpObject> message = pipeline.discard();
-        message.isPresent();
-        message = pipeline.discard()) {
-      ReferenceCountUtil.release(message.get());
+    for (Optional<Received> waiting = pipeline.discard();
+        waiting.isPresent();
+        waiting = pipeline.discard()) {
+      ReferenceCountUtil.release(waiting.get().message());
     }
     if (exchange != null) {
       final Exchange abandoned = exchange;
@@ -356,4 +358,12 @@
     }
     scheduleTimer();
   }
+
+  /**
+   * A head or part of a request, which may wait for the response to the request before it.
+   *
+   * @param message the message
+   * @param atMs the time of its arrival, in Unix milliseconds
+   */
+  private record Received(HttpObject message, long atMs) {}
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -237,24 +237,36 @@
    * @param caller the connection that the response is written to
    * @param request the request line and headers
    * @param body the request body, empty if there is none
+   * @param receivedMs the time at which its head arrived, in Unix milliseconds; its caller's and
+   *     its route's time limits run from then
    */
-  void serve(final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+  void serve(
+      final CallerConnection caller,
+      final HttpRequest request,
+      final ByteBuf body,
+      final long receivedMs) {
     if (gate.isClosed()) {
-      gate.delay(() -> serveUnlessClosed(caller, request, body));
+      gate.delay(() -> serveUnlessClosed(caller, request, body, receivedMs));
       return;
     }
-    serveNow(caller, request, body);
+    serveNow(caller, request, body, receivedMs);
   }
 
   private void serveUnlessClosed(
-      final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+      final CallerConnection caller,
+      final HttpRequest request,
+      final ByteBuf body,
+      final long receivedMs) {
     if (caller.isOpen()) {
-      serveNow(caller, request, body);
+      serveNow(caller, request, body, receivedMs);
     }
   }
 
   private void serveNow(
-      final CallerConnection caller, final HttpRequest request, final ByteBuf body) {
+      final CallerConnection caller,
+      final HttpRequest request,
+      final ByteBuf body,
+      final long receivedMs) {
     final Optional<RequestHead> head = RequestTranslator.head(request);
     if (head.isEmpty()) {
       refuse(
@@ -300,7 +312,7 @@
       caller.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, QUARANTINE_RETRY_AFTER_MS);
       return;
     }
-    final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant);
+    final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant, receivedMs);
     planner.recordRequest(routed);
     inFlight++;
     final Exchange exchange = new Exchange(this, caller, routed, request, body);
@@ -333,8 +345,8 @@
       final RoutingPlan plan,
       final RequestHead head,
       final Route route,
-      final Optional<Tenant> tenant) {
-    final long nowMs = clock.nowMs();
+      final Optional<Tenant> tenant,
+      final long receivedMs) {
     final boolean stream = route.kind() == RequestKind.STREAM;
     final long callStallTimeoutMs =
         Math.max(MIN_CALL_STALL_TIMEOUT_MS, CALL_STALL_TARGET_MULTIPLE * route.latencyTargetMs());
@@ -343,7 +355,7 @@
             route.retryable(),
             stream && route.resumable(),
             route.maxAttempts(),
-            nowMs + timeLimitMs(route, head),
+            receivedMs + timeLimitMs(route, head),
             stream ? FIRST_EVENT_TARGET_MULTIPLE * route.latencyTargetMs() : callStallTimeoutMs,
             stream ? EVENT_STALL_TIMEOUT_MS : callStallTimeoutMs);
     final int routePriority = route.priority();
@@ -354,7 +366,7 @@
         tenant.map(Tenant::organisation),
         tenant.map(holder -> holder.priority().orElse(routePriority)).orElse(routePriority),
         limits,
-        nowMs,
+        clock.nowMs(),
         plan.version());
   }
 
--- a/src/test/java/org/bulrushweir/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.Map;
@@ -176,6 +177,34 @@
     assertEquals(1, runCount("b1"));
   }
 
+  /** Guards against a request that runs although its caller has stopped waiting for it. */
+  @Test
+  void bookingWhoseDeadlinePassesBehindAnotherOneIsNotRun() throws IOException {
+    setOrdersFault(EndpointFault.HANG);
+    try (RawSocketClient client = new RawSocketClient(gateway.callersPort())) {
+      client.send(rawBooking("b1", 5_000) + rawBooking("b2", 500));
+      final String responses = client.read(3_000);
+      assertTrue(responses.startsWith("HTTP/1.1 504"), responses);
+      assertTrue(responses.contains("HTTP/1.1 503"), responses);
+    }
+    assertEquals(0, runCount("b2"));
+  }
+
+  private static String rawBooking(final String id, final long deadlineMs) {
+    final DemoCall call = DemoCall.booking(id);
+    return "POST "
+        + call.path()
+        + " HTTP/1.1\r\nHost: "
+        + call.host()
+        + "\r\nX-Request-Id: "
+        + id
+        + "\r\nAuthorization: Bearer "
+        + call.key()
+        + "\r\nX-Deadline-Ms: "
+        + deadlineMs
+        + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
   @Test
   void lookupIsRetriedAtAnotherEndpointThanOneThatHangsOrFails() {
     for (final EndpointFault fault : Set.of(EndpointFault.HANG, EndpointFault.ERROR)) {
