--- a/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
@@ -31,15 +31,20 @@
   private int consecutiveFailures;
   private long ejectionMs = BASE_EJECTION_MS;
   private long ejectedUntilMs = Long.MIN_VALUE;
+  private long heldOffUntilMs;
   private boolean probing;
   private boolean unreachable;
 
-  /** Records an attempt that succeeded. */
-  void recordSuccess() {
+  /**
+   * Records an attempt that succeeded.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  void recordSuccess(final long nowMs) {
     unreachable = false;
     failureShare -= NEWEST_OUTCOME_WEIGHT * failureShare;
     consecutiveFailures = 0;
-    if (probing) {
+    if (probing && heldOffForMs(nowMs) == 0) {
       probing = false;
       failureShare = 0;
     }
@@ -74,6 +79,27 @@
     eject(nowMs);
   }
 
+  /**
+   * Records that the endpoint wants no requests for a while. The last word counts. Afterwards the
+   * endpoint gets one probe request at a time until one succeeds.
+   *
+   * @param untilMs the end of that time, in Unix milliseconds
+   */
+  void recordHoldOff(final long untilMs) {
+    heldOffUntilMs = untilMs;
+    probing = true;
+  }
+
+  /**
+   * Returns for how long the endpoint wants no requests.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time in milliseconds, zero if it takes requests
+   */
+  long heldOffForMs(final long nowMs) {
+    return Math.max(0, heldOffUntilMs - nowMs);
+  }
+
   private void eject(final long nowMs) {
     if (nowMs < ejectedUntilMs) {
       return;
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -100,7 +100,7 @@
     final List<EndpointState> candidates = tracker.candidates(service);
     final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
     if (prompt.isEmpty()) {
-      return best(candidates, excluded, state -> callCost(state, draw, nowMs), ejection);
+      return best(candidates, excluded, state -> callCost(state, draw, nowMs), ejection, nowMs);
     }
     final double bound = bound(candidates, nowMs);
     final EndpointState hashOwner = hashOwner(candidates, prompt, ejection);
@@ -112,23 +112,25 @@
             state.inFlight(nowMs) >= bound
                 ? bound + state.inFlight(nowMs) * settings.overBoundMs()
                 : promptCost(state, prompt, hashOwner, maxCached, nowMs),
-        ejection);
+        ejection,
+        nowMs);
   }
 
   /**
    * Returns the candidate with the lowest cost. An ejected candidate is returned only if no other
-   * one is left.
+   * one is left, and one that wants no requests is never returned.
    */
   private static Optional<EndpointId> best(
       final List<EndpointState> candidates,
       final Set<EndpointId> excluded,
       final ToDoubleFunction<EndpointState> cost,
-      final EjectionPolicy ejection) {
+      final EjectionPolicy ejection,
+      final long nowMs) {
     EndpointState best = null;
     double bestCost = 0;
     boolean bestEjected = true;
     for (final EndpointState state : candidates) {
-      if (excluded.contains(state.entry().id())) {
+      if (excluded.contains(state.entry().id()) || state.health().heldOffForMs(nowMs) > 0) {
         continue;
       }
       final boolean ejected = ejection.avoids(state);
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -331,7 +331,7 @@
     }
     state.adjustLoad(-1, -pendingTokens);
     if (outcome == AttemptOutcome.ANSWERED) {
-      state.health().recordSuccess();
+      state.health().recordSuccess(nowMs);
     } else if (outcome == AttemptOutcome.FAILED) {
       state.health().recordFailure(nowMs);
     } else if (outcome == AttemptOutcome.UNREACHABLE) {
@@ -339,6 +339,49 @@
     }
   }
 
+  /**
+   * Records that an endpoint wants no requests from this gateway for a while. Without effect if the
+   * endpoint has restarted since the request was sent.
+   *
+   * @param endpoint the endpoint as it was registered when the request was sent
+   * @param forMs the time, in milliseconds
+   * @param nowMs the current time, in Unix milliseconds
+   * @return true if it took requests before
+   */
+  public boolean recordHoldOff(final EndpointRecord endpoint, final long forMs, final long nowMs) {
+    final EndpointState state = stateOfRun(endpoint.id(), endpoint.startedAtMs());
+    if (state == null) {
+      return false;
+    }
+    final boolean tookRequests = state.health().heldOffForMs(nowMs) == 0;
+    state.health().recordHoldOff(nowMs + forMs);
+    return tookRequests;
+  }
+
+  /**
+   * Returns when the first endpoint of a service takes requests again.
+   *
+   * @param service the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time from now in milliseconds, zero if one takes requests or none is listed
+   */
+  public long heldOffForMs(final ServiceName service, final long nowMs) {
+    return candidates(service).stream()
+        .mapToLong(state -> state.health().heldOffForMs(nowMs))
+        .min()
+        .orElse(0);
+  }
+
+  /**
+   * Returns the number of endpoints that want no requests at the moment.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the number
+   */
+  public long heldOffCount(final long nowMs) {
+    return states.values().stream().filter(state -> state.health().heldOffForMs(nowMs) > 0).count();
+  }
+
   /**
    * Applies the report of a peer, unless it was overtaken by a newer one.
    *
--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -113,6 +113,23 @@
     removed.put(id, records.remove(id));
   }
 
+  /**
+   * Records that a run of an endpoint says in its answers that it leaves. It accepts no requests
+   * from then on, whatever its registration states; a later run under the same id does.
+   *
+   * @param run the endpoint as it was registered when the request was sent
+   * @return false if the run has ended or is known to leave
+   */
+  public boolean markLeaving(final EndpointRecord run) {
+    final EndpointRecord current = records.get(run.id());
+    if (current == null || !current.isSameRun(run) || current.draining()) {
+      return false;
+    }
+    records.put(run.id(), current.asDraining());
+    rebuildIndex();
+    return true;
+  }
+
   /**
    * Removes an endpoint whose registration has ended or cannot be read. The removal is delayed if
    * the registration may have lapsed because of an outage of the store.
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -24,6 +25,8 @@
  */
 final class AttemptPlanner {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final EndpointDirectory directory;
   private final EndpointTracker tracker;
   private final EndpointSelector selector;
@@ -161,6 +164,43 @@
     return snapshot;
   }
 
+  /**
+   * Records that an endpoint says in an answer that it leaves.
+   *
+   * @param endpoint the endpoint as it was registered when the request was sent
+   */
+  void recordLeaving(final EndpointRecord endpoint) {
+    if (directory.markLeaving(endpoint)) {
+      logger.atInfo().log(
+          "endpoint %s, started at %d, announces that it leaves: it gets no more requests",
+          endpoint.id(), endpoint.startedAtMs());
+    }
+  }
+
+  /**
+   * Records that an endpoint wants no requests for a while.
+   *
+   * @param endpoint the endpoint as it was registered when the request was sent
+   * @param forMs the time, in milliseconds
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  void recordHoldOff(final EndpointRecord endpoint, final long forMs, final long nowMs) {
+    if (tracker.recordHoldOff(endpoint, forMs, nowMs)) {
+      logger.atInfo().log("endpoint %s wants no requests for %d ms", endpoint.id(), forMs);
+    }
+  }
+
+  /**
+   * Returns when the first endpoint of a service takes requests again.
+   *
+   * @param routed a request for the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time from now in milliseconds, zero if one takes requests or none is listed
+   */
+  long heldOffForMs(final RoutedRequest routed, final long nowMs) {
+    return tracker.heldOffForMs(routed.service(), nowMs);
+  }
+
   /**
    * Records that an endpoint has finished the prefill of a prompt and started to respond.
    *
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -174,7 +174,7 @@
 
   @Override
   public long retryAfterMs() {
-    return core.retryAfterMs();
+    return core.planner().heldOffForMs(routed, core.nowMs()) + core.retryAfterMs();
   }
 
   private void startAttempt(final RelayAction.Send send) {
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -296,6 +296,7 @@
     head = ResponseTranslator.head(received);
     end.onHead(framing, head.success());
     framer.startResponse();
+    recordAnnouncements(received);
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
       return;
@@ -303,6 +304,16 @@
     owner.handle(new RelayEvent.HeadReceived(id, head));
   }
 
+  /** Records what the endpoint says about further requests. */
+  private void recordAnnouncements(final HttpResponse received) {
+    if (ResponseTranslator.announcesLeaving(received)) {
+      core.planner().recordLeaving(target);
+    }
+    if (head.holdOffMs() > 0) {
+      core.planner().recordHoldOff(target, head.holdOffMs(), core.nowMs());
+    }
+  }
+
   @Override
   public void onPart(final ByteBuf part) {
     if (finished) {
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -142,7 +142,7 @@
                 gate.wrap(SharedTable.ENDPOINTS, endpointListener),
                 loop,
                 clock));
-    addGauges(activePlan, log);
+    addGauges(activePlan, tracker, log);
   }
 
   private AttemptPlanner planner(
@@ -173,7 +173,12 @@
         settings.selector().prefillTokensPerMs());
   }
 
-  private void addGauges(final ActivePlan activePlan, final AsyncLogWriter log) {
+  private void addGauges(
+      final ActivePlan activePlan, final EndpointTracker tracker, final AsyncLogWriter log) {
+    metrics.gauge(
+        "bulrushweir_gateway_endpoints_held_off",
+        "Endpoints that asked for no requests for a while.",
+        () -> (double) tracker.heldOffCount(clock.nowMs()));
     metrics.gauge(
         "bulrushweir_gateway_plan_version",
         "The version of the plan in force.",
--- a/src/main/java/org/bulrushweir/platform/EndpointSide.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointSide.java
@@ -77,6 +77,15 @@
     headers.set(HeaderNames.NOT_RUN, "1");
   }
 
+  /**
+   * Marks an answer as one of an endpoint that leaves.
+   *
+   * @param headers the answer's headers
+   */
+  public static void markLeaving(final HttpHeaders headers) {
+    headers.set(HeaderNames.LEAVING, "1");
+  }
+
   /**
    * Writes what a caller sends beside the usual headers.
    *
--- a/src/main/java/org/bulrushweir/platform/HeaderNames.java
+++ b/src/main/java/org/bulrushweir/platform/HeaderNames.java
@@ -30,6 +30,9 @@
   /** Proves that a request was not run. */
   static final AsciiString NOT_RUN = AsciiString.cached("x-not-executed");
 
+  /** Announces in any answer of an endpoint that it is about to leave. */
+  static final AsciiString LEAVING = AsciiString.cached("server-leaving");
+
   /** The rank of a request at an engine. */
   static final AsciiString PRIORITY = AsciiString.cached("x-request-priority");
 
--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -45,6 +45,17 @@
     return new ResponseHead(status, authentic, notRun, retryAfterMs(headers));
   }
 
+  /**
+   * Tells whether the endpoint that made an answer announces that it leaves.
+   *
+   * @param response the answer
+   * @return false for an answer of another endpoint at the same address
+   */
+  public static boolean announcesLeaving(final HttpResponse response) {
+    return response.headers().contains(HeaderNames.LEAVING)
+        && response.status().code() != MISDIRECTED;
+  }
+
   private static long retryAfterMs(final HttpHeaders headers) {
     final String text = headers.get(HttpHeaderNames.RETRY_AFTER);
     if (text == null) {
--- a/src/main/java/org/bulrushweir/relay/ResponseHead.java
+++ b/src/main/java/org/bulrushweir/relay/ResponseHead.java
@@ -15,6 +15,10 @@
   private static final int STATUS_REQUEST_TIMEOUT = 408;
   private static final int STATUS_TOO_MANY_REQUESTS = 429;
   private static final int STATUS_SERVICE_UNAVAILABLE = 503;
+
+  /** The longest time for which an endpoint's word is kept, in milliseconds. */
+  private static final long MAX_HOLD_OFF_MS = 600_000;
+
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_REDIRECT = 300;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -37,6 +41,15 @@
     return status >= FIRST_SERVER_ERROR;
   }
 
+  /**
+   * Returns for how long the endpoint wants no further requests from this gateway.
+   *
+   * @return the time in milliseconds, zero if it states none
+   */
+  public long holdOffMs() {
+    return status == STATUS_SERVICE_UNAVAILABLE ? Math.min(retryAfterMs, MAX_HOLD_OFF_MS) : 0;
+  }
+
   /**
    * Returns whether callers would take the status for a promise that the request was not run
    * although the response does not prove it.
--- a/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
@@ -47,6 +48,7 @@
 
   private final Map<String, Integer> runs = new ConcurrentHashMap<>();
   private final Map<String, String> organisations = new ConcurrentHashMap<>();
+  private final AtomicInteger refusals = new AtomicInteger();
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final PlatformStandIn platform;
@@ -151,6 +153,15 @@
     return runs;
   }
 
+  /**
+   * Returns the number of requests that were refused.
+   *
+   * @return the count
+   */
+  public int refusals() {
+    return refusals.get();
+  }
+
   /**
    * Returns on whose behalf requests were run.
    *
@@ -177,7 +188,9 @@
         answer(context, requestId, HttpResponseStatus.MISDIRECTED_REQUEST, false);
         return;
       }
-      if (fault == EndpointFault.SHED || fault == EndpointFault.SHED_UNPROVEN) {
+      if (fault == EndpointFault.SHED
+          || fault == EndpointFault.BUSY
+          || fault == EndpointFault.SHED_UNPROVEN) {
         refuse(context, requestId);
         return;
       }
@@ -192,9 +205,13 @@
     private void refuse(final ChannelHandlerContext context, final String requestId) {
       final DefaultFullHttpResponse refusal =
           full(HttpResponseStatus.SERVICE_UNAVAILABLE, "full", requestId);
-      if (fault == EndpointFault.SHED) {
+      refusals.incrementAndGet();
+      if (fault != EndpointFault.SHED_UNPROVEN) {
         EndpointSide.markNotRun(refusal.headers());
       }
+      if (fault == EndpointFault.BUSY) {
+        refusal.headers().set(HttpHeaderNames.RETRY_AFTER, EndpointFault.BUSY_S);
+      }
       context.writeAndFlush(refusal);
     }
 
@@ -271,6 +288,9 @@
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
       EndpointSide.seal(response.headers(), requestId, "seal-" + requestId);
+      if (fault == EndpointFault.LEAVING) {
+        EndpointSide.markLeaving(response.headers());
+      }
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
       return response;
     }
--- a/src/main/java/org/bulrushweir/standin/EndpointFault.java
+++ b/src/main/java/org/bulrushweir/standin/EndpointFault.java
@@ -6,6 +6,10 @@
   NONE,
   /** It refuses all requests and proves that it did not run them. */
   SHED,
+  /** It refuses all requests with proof, and asks for none for {@link #BUSY_S} seconds. */
+  BUSY,
+  /** It answers as usual and announces that it leaves. */
+  LEAVING,
   /** It refuses all requests without a proof. */
   SHED_UNPROVEN,
   /** It runs requests and never answers. */
@@ -25,5 +29,8 @@
   /** It sends another answer after each answer. */
   EXTRA,
   /** It answers without a mark of its own. */
-  UNSEALED
+  UNSEALED;
+
+  /** For how long {@link #BUSY} asks for no requests, in seconds. */
+  public static final int BUSY_S = 2;
 }
--- a/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EndpointDirectoryTest.java
@@ -50,6 +50,27 @@
     assertEquals(1, count());
   }
 
+  private boolean acceptsRequests() {
+    return directory.find(E1).filter(found -> !found.draining()).isPresent();
+  }
+
+  @Test
+  void runThatAnnouncesItsLeavingIsNotUsedAgain() {
+    final EndpointRecord leaving = startedAt(100, 80);
+    directory.put(leaving);
+    assertTrue(directory.markLeaving(leaving));
+    assertFalse(acceptsRequests());
+    assertFalse(directory.markLeaving(leaving), "known already");
+    directory.put(leaving);
+    directory.replaceAll(List.of(leaving), 1_000);
+    assertFalse(acceptsRequests(), "its registration still states that it is ready");
+    directory.remove(E1, 10_000);
+    assertFalse(directory.put(leaving));
+    assertTrue(directory.put(startedAt(200, 81)));
+    assertFalse(directory.markLeaving(leaving), "a late answer of the run that has ended");
+    assertTrue(acceptsRequests());
+  }
+
   private int count() {
     return directory.endpoints(SERVICE).size();
   }
--- a/src/test/java/org/bulrushweir/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayTest.java
@@ -236,6 +236,79 @@
     assertEquals(10, orders2.runs().keySet().stream().filter(id -> id.startsWith("b")).count());
   }
 
+  private long bookingsAt(final DirectEndpointStandIn endpoint, final String prefix) {
+    return endpoint.runs().keySet().stream().filter(id -> id.startsWith(prefix)).count();
+  }
+
+  private void sendBookings(final String prefix) {
+    for (int number = 0; number < 10; number++) {
+      assertTrue(send(DemoCall.booking(prefix + number)).served());
+    }
+  }
+
+  /** Guards against requests to an endpoint that says in its answers that it leaves. */
+  @Test
+  void endpointThatAnnouncesItsLeavingGetsNoNewRequests() throws InterruptedException {
+    orders1.misbehaveAs(EndpointFault.LEAVING);
+    for (int number = 0; number < 30 && orders1.runs().isEmpty(); number++) {
+      send(DemoCall.lookup("l" + number));
+    }
+    sendBookings("a");
+    assertEquals(0, bookingsAt(orders1, "a"));
+    orders1.register(false);
+    Thread.sleep(300);
+    sendBookings("b");
+    assertEquals(0, bookingsAt(orders1, "b"), "the same run registers once more");
+    fleet.platform().misbehaveAs(new PlatformFaults(true, false, 0, 0, 0, false));
+    Thread.sleep(300);
+    sendBookings("c");
+    assertEquals(0, bookingsAt(orders1, "c"), "the store is away");
+    fleet.platform().misbehaveAs(PlatformFaults.NONE);
+    orders1.misbehaveAs(EndpointFault.NONE);
+    orders1.registerRestart();
+    orders2.register(true);
+    Thread.sleep(1_000);
+    sendBookings("d");
+    assertEquals(10, bookingsAt(orders1, "d"), "a new run is used");
+  }
+
+  /** Guards against requests to an endpoint that asked for none for a while. */
+  @Test
+  void endpointThatAsksForNoRequestsIsHeldBack() throws InterruptedException {
+    orders1.misbehaveAs(EndpointFault.BUSY);
+    for (int number = 0; number < 30 && orders1.refusals() == 0; number++) {
+      send(DemoCall.booking("a" + number));
+    }
+    final int refusals = orders1.refusals();
+    assertTrue(refusals > 0);
+    final long untilMs = System.currentTimeMillis() + EndpointFault.BUSY_S * 1_000 - 500;
+    int number = 0;
+    while (System.currentTimeMillis() < untilMs) {
+      assertTrue(send(DemoCall.booking("b" + number)).served());
+      number++;
+    }
+    assertEquals(refusals, orders1.refusals());
+    orders1.misbehaveAs(EndpointFault.NONE);
+    Thread.sleep(1_000);
+    sendBookings("c");
+    assertTrue(bookingsAt(orders1, "c") > 0, "the endpoint is used again");
+  }
+
+  @Test
+  void requestIsRefusedAtOnceWhileAllEndpointsAskForNone() {
+    setOrdersFault(EndpointFault.BUSY);
+    for (int number = 0; number < 5; number++) {
+      send(DemoCall.booking("a" + number));
+    }
+    final int refusals = orders1.refusals() + orders2.refusals();
+    final DemoAnswer answer = send(DemoCall.booking("b"));
+    assertEquals(503, answer.status());
+    final double retryAfterS = Double.parseDouble(answer.retryAfter());
+    assertTrue(retryAfterS > EndpointFault.BUSY_S / 2.0, answer.retryAfter());
+    assertTrue(retryAfterS < EndpointFault.BUSY_S + 1, answer.retryAfter());
+    assertEquals(refusals, orders1.refusals() + orders2.refusals());
+  }
+
   @Test
   void endpointRefusesRequestsMeantForAnotherOneAtItsAddress() throws InterruptedException {
     fleet.platform().put(SharedTable.ENDPOINTS, "orders-1", null);
