--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -36,6 +36,9 @@
 
   private static final double MS_PER_SECOND = 1_000;
 
+  /** The time within which a caller that opens a connection sends its request, in milliseconds. */
+  private static final long FIRST_REQUEST_MS = 400;
+
   private final CallerPipeline<Received> pipeline = new CallerPipeline<>();
   private final GatewayCore core;
   private final CallerLimits limits;
@@ -45,6 +48,8 @@
   private HttpRequest request;
   private ByteBuf body;
   private Exchange exchange;
+  private boolean requestSeen;
+  private long openedMs;
   private long lastActivityMs;
   private long requestReceivedMs;
 
@@ -63,7 +68,8 @@
   @Override
   public void handlerAdded(final ChannelHandlerContext added) {
     context = added;
-    lastActivityMs = core.nowMs();
+    openedMs = core.nowMs();
+    lastActivityMs = openedMs;
   }
 
   @Override
@@ -104,6 +110,7 @@
       return;
     }
     if (message instanceof HttpRequest head) {
+      requestSeen = true;
       requestReceivedMs = receivedMs;
       handleHead(head);
     }
@@ -290,9 +297,15 @@
     failed.close();
   }
 
-  /** Closes the connection if no request is being received, waits or is being answered. */
+  /**
+   * Closes the connection if no request is being received, waits or is being answered, unless the
+   * caller has just opened it and may be about to send.
+   */
   void closeIfIdle() {
-    final boolean receiving = request != null || headTimer.isHeadIncomplete();
+    final boolean receiving =
+        request != null
+            || headTimer.isHeadIncomplete()
+            || !requestSeen && core.nowMs() - openedMs < FIRST_REQUEST_MS;
     if (!pipeline.isBusy() && !pipeline.isClosing() && !receiving && !pipeline.hasWaiting()) {
       closeAfterSending();
     }
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -59,6 +59,20 @@
     assertFalse(channel.isOpen());
   }
 
+  /** Guards against a stop that closes the connection of a caller that is about to send. */
+  @Test
+  void connectionThatWasJustOpenedIsNotIdle() {
+    final EmbeddedChannel channel = new EmbeddedChannel(handler);
+    now.set(200);
+    handler.closeIfIdle();
+    channel.runPendingTasks();
+    assertTrue(channel.isOpen(), "closed 200 ms after it was opened");
+    now.set(500);
+    handler.closeIfIdle();
+    channel.runPendingTasks();
+    assertFalse(channel.isOpen());
+  }
+
   @Test
   void pipelinedRequestIsAnsweredBeforeAnIdleConnectionIsClosed() {
     final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
