--- a/src/test/java/org/bulrushweir/gateway/BreakingStreamEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/BreakingStreamEndpoint.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -18,9 +16,8 @@
 
   private static final String TRAILING_COMMENT = ": the end\n\n";
   private static final String SENT = event(0) + event(1) + "id: 2\nda";
-  private static final int BACKLOG = 16;
 
-  private final ServerSocket server;
+  private final RawServer server;
   private final StreamFraming framing;
   private final String resumed;
 
@@ -44,8 +41,7 @@
   BreakingStreamEndpoint(final StreamFraming framing, final String resumed) throws IOException {
     this.framing = framing;
     this.resumed = resumed;
-    this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::acceptConnections);
+    this.server = new RawServer(this::answer);
   }
 
   private static String event(final int number) {
@@ -67,32 +63,17 @@
   }
 
   int port() {
-    return server.getLocalPort();
+    return server.port();
   }
 
-  private void acceptConnections() {
-    while (!server.isClosed()) {
-      try {
-        final Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> answer(socket));
-      } catch (IOException e) {
-        return;
-      }
-    }
-  }
-
-  private void answer(final Socket socket) {
-    try (socket) {
-      final InputStream input = socket.getInputStream();
-      final RawRequest request = RawRequest.read(input);
-      input.readNBytes(request.contentLength());
-      final String response = request.header("Last-Event-Id").isEmpty() ? broken() : resumed;
-      socket
-          .getOutputStream()
-          .write(response.replace("@id@", request.id()).getBytes(StandardCharsets.US_ASCII));
-    } catch (IOException e) {
-      // The gateway has closed the connection.
-    }
+  private void answer(final Socket socket) throws IOException {
+    final InputStream input = socket.getInputStream();
+    final RawRequest request = RawRequest.read(input);
+    input.readNBytes(request.contentLength());
+    final String response = request.header("Last-Event-Id").isEmpty() ? broken() : resumed;
+    socket
+        .getOutputStream()
+        .write(response.replace("@id@", request.id()).getBytes(StandardCharsets.US_ASCII));
   }
 
   private String broken() {
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -46,6 +46,7 @@
           directory, new EndpointTracker(directory, service -> 0, 1), now::get);
   private final CallerHandler handler = new CallerHandler(core, new RequestHeadTimer(core::nowMs));
   private final SlowCaller slowCaller = new SlowCaller();
+  private final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
 
   @Test
   void idleConnectionIsClosedOnlyAfterItsLastResponseWasSent() {
@@ -75,12 +76,8 @@
 
   @Test
   void pipelinedRequestIsAnsweredBeforeAnIdleConnectionIsClosed() {
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
     final CallerHandler pipelined =
-        new CallerHandler(
-            GatewayCoreFixture.create(directory, tracker, now::get, gate),
-            new RequestHeadTimer(now::get));
+        new CallerHandler(startingCore(), new RequestHeadTimer(now::get));
     final EmbeddedChannel channel = new EmbeddedChannel(pipelined);
     channel.writeInbound(request(), request());
     channel
@@ -95,6 +92,16 @@
         2, channel.outboundMessages().stream().filter(HttpResponse.class::isInstance).count());
   }
 
+  /** Returns a core that delays requests until its gate opens. */
+  private GatewayCore startingCore() {
+    return GatewayCoreFixture.create(
+        directory, new EndpointTracker(directory, service -> 0, 1), now::get, gate);
+  }
+
+  private EmbeddedChannel connection(final GatewayCore served) {
+    return new EmbeddedChannel(new CallerHandler(served, new RequestHeadTimer(now::get)));
+  }
+
   /** Returns the statuses of the responses, and the ends of connections that they announce. */
   private static List<String> responses(final EmbeddedChannel channel) {
     return channel.outboundMessages().stream()
@@ -110,13 +117,7 @@
   /** Guards against a response in the place of an earlier request's. */
   @Test
   void requestThatArrivesAtTheEndOfResponseIsServedAfterThoseThatWait() {
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
-    final EmbeddedChannel channel =
-        new EmbeddedChannel(
-            new CallerHandler(
-                GatewayCoreFixture.create(directory, tracker, now::get, gate),
-                new RequestHeadTimer(now::get)));
+    final EmbeddedChannel channel = connection(startingCore());
     channel.writeInbound(properRequest(), request());
     channel
         .eventLoop()
@@ -132,13 +133,7 @@
   /** Guards against a body whose rest arrives as the response before it ends. */
   @Test
   void requestWhoseRestArrivesAtTheEndOfResponseIsServed() {
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
-    final EmbeddedChannel channel =
-        new EmbeddedChannel(
-            new CallerHandler(
-                GatewayCoreFixture.create(directory, tracker, now::get, gate),
-                new RequestHeadTimer(now::get)));
+    final EmbeddedChannel channel = connection(startingCore());
     final DefaultHttpRequest head =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/without-host");
     head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 4);
@@ -158,11 +153,8 @@
   /** Guards against requests that a stop drops because they wait behind another one. */
   @Test
   void requestsThatWaitAreAnsweredBeforeTheirConnectionIsClosedByStop() {
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
-    final GatewayCore stopping = GatewayCoreFixture.create(directory, tracker, now::get, gate);
-    final EmbeddedChannel channel =
-        new EmbeddedChannel(new CallerHandler(stopping, new RequestHeadTimer(now::get)));
+    final GatewayCore stopping = startingCore();
+    final EmbeddedChannel channel = connection(stopping);
     channel.writeInbound(properRequest(), request(), properRequest());
     stopping.startDraining();
     GatewayCoreFixture.open(gate, directory);
@@ -186,11 +178,8 @@
 
   @Test
   void requestDelayedAtTheStartIsRefusedAtTheExit() {
-    final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
-    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
-    final GatewayCore starting = GatewayCoreFixture.create(directory, tracker, now::get, gate);
-    final EmbeddedChannel channel =
-        new EmbeddedChannel(new CallerHandler(starting, new RequestHeadTimer(now::get)));
+    final GatewayCore starting = startingCore();
+    final EmbeddedChannel channel = connection(starting);
     channel.writeInbound(request());
     assertNull(channel.readOutbound());
     starting.startDraining();
--- a/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
@@ -4,8 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.bulrushweir.platform.EndpointSide;
@@ -16,9 +14,7 @@
  */
 final class RawEndpoint implements AutoCloseable {
 
-  private static final int BACKLOG = 16;
-
-  private final ServerSocket server;
+  private final RawServer server;
   private final String body;
   private final ConnectionEnd end;
 
@@ -41,39 +37,29 @@
   RawEndpoint(final String body, final ConnectionEnd end) throws IOException {
     this.body = body;
     this.end = end;
-    this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::acceptConnections);
+    this.server = new RawServer(this::answer);
   }
 
   int port() {
-    return server.getLocalPort();
+    return server.port();
   }
 
-  private void acceptConnections() {
-    while (!server.isClosed()) {
-      try {
-        final Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> answer(socket));
-      } catch (IOException e) {
-        return;
-      }
+  private void answer(final Socket socket) throws IOException {
+    final RawRequest request = RawRequest.read(socket.getInputStream());
+    if (end != ConnectionEnd.RESET_UNREAD) {
+      socket.getInputStream().readNBytes(request.contentLength());
+    }
+    socket.getOutputStream().write(response(request.id()));
+    if (end != ConnectionEnd.CLOSED) {
+      letBodyArrive();
+      socket.setSoLinger(true, 0);
     }
   }
 
-  private void answer(final Socket socket) {
-    try (socket) {
-      final RawRequest request = RawRequest.read(socket.getInputStream());
-      if (end != ConnectionEnd.RESET_UNREAD) {
-        socket.getInputStream().readNBytes(request.contentLength());
-      }
-      socket.getOutputStream().write(response(request.id()));
-      if (end != ConnectionEnd.CLOSED) {
-        // Lets the body arrive first, as a reset discards what was not read.
-        Thread.sleep(100);
-        socket.setSoLinger(true, 0);
-      }
-    } catch (IOException e) {
-      // The gateway has closed the connection.
+  /** Waits before a reset, which discards what was not read. */
+  private static void letBodyArrive() {
+    try {
+      Thread.sleep(100);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/gateway/RawServer.java
@@ -0,0 +1,65 @@
+package org.bulrushweir.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+/** Accepts connections for endpoints that read and write raw bytes. */
+final class RawServer implements AutoCloseable {
+
+  private static final int BACKLOG = 16;
+
+  private final ServerSocket socket;
+
+  /** Serves a connection; it is closed afterwards. */
+  @FunctionalInterface
+  interface Handler {
+
+    /**
+     * Serves a connection until its end.
+     *
+     * @param connection the connection
+     * @throws IOException if the gateway has closed it
+     */
+    void serve(Socket connection) throws IOException;
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @param handler serves each of them on a thread of its own
+   */
+  RawServer(final Handler handler) throws IOException {
+    this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(() -> acceptConnections(handler));
+  }
+
+  int port() {
+    return socket.getLocalPort();
+  }
+
+  private void acceptConnections(final Handler handler) {
+    while (!socket.isClosed()) {
+      try {
+        final Socket connection = socket.accept();
+        Thread.ofVirtual().start(() -> serve(handler, connection));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private static void serve(final Handler handler, final Socket connection) {
+    try (connection) {
+      handler.serve(connection);
+    } catch (IOException e) {
+      // The gateway has closed the connection.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- a/src/test/java/org/bulrushweir/gateway/RepeatingEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RepeatingEndpoint.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -17,11 +15,9 @@
  */
 final class RepeatingEndpoint implements AutoCloseable {
 
-  private static final int BACKLOG = 16;
-
   private final Map<String, Integer> runs = new ConcurrentHashMap<>();
   private final AtomicInteger requests = new AtomicInteger();
-  private final ServerSocket server;
+  private final RawServer server;
   private final boolean namesRequest;
 
   /**
@@ -31,12 +27,11 @@
    */
   RepeatingEndpoint(final boolean namesRequest) throws IOException {
     this.namesRequest = namesRequest;
-    this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(this::acceptConnections);
+    this.server = new RawServer(this::serve);
   }
 
   int port() {
-    return server.getLocalPort();
+    return server.port();
   }
 
   /** Returns how often each request ran. */
@@ -44,37 +39,22 @@
     return runs;
   }
 
-  private void acceptConnections() {
-    while (!server.isClosed()) {
-      try {
-        final Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> serve(socket));
-      } catch (IOException e) {
-        return;
-      }
-    }
-  }
-
-  private void serve(final Socket socket) {
-    try (socket) {
-      socket.setTcpNoDelay(true);
-      final InputStream input = socket.getInputStream();
-      final OutputStream output = socket.getOutputStream();
-      String refusal = "";
-      while (!server.isClosed()) {
-        final RawRequest request = RawRequest.read(input);
-        input.readNBytes(request.contentLength());
-        if (refusal.isEmpty() && requests.getAndIncrement() % 2 == 0) {
-          refusal = refusal(request.id());
-          write(output, refusal);
-        } else {
-          runs.merge(request.id(), 1, Integer::sum);
-          write(output, refusal);
-          write(output, answer(request.id()));
-        }
+  private void serve(final Socket socket) throws IOException {
+    socket.setTcpNoDelay(true);
+    final InputStream input = socket.getInputStream();
+    final OutputStream output = socket.getOutputStream();
+    String refusal = "";
+    while (!socket.isClosed()) {
+      final RawRequest request = RawRequest.read(input);
+      input.readNBytes(request.contentLength());
+      if (refusal.isEmpty() && requests.getAndIncrement() % 2 == 0) {
+        refusal = refusal(request.id());
+        write(output, refusal);
+      } else {
+        runs.merge(request.id(), 1, Integer::sum);
+        write(output, refusal);
+        write(output, answer(request.id()));
       }
-    } catch (IOException e) {
-      // The gateway has closed the connection.
     }
   }
 
