Unexpected bytes of endpoints are counted and logged

A gateway skipped responses to other requests and closed idle connections on which bytes came without a trace, so that its log could not tell the hypotheses of the incident apart: a repetition that was skipped, one that arrived while the connection was idle, one whose head is joined with the next one. Each is now a counter by kind and a line that names the endpoint and the waiting request. A joined head is recognised by the status line inside it; what follows from it is unchanged here.

--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -42,6 +42,7 @@
   private final Map<EndpointRecord, Deque<EndpointConnection>> idleConnections = new HashMap<>();
   private final Bootstrap bootstrap;
   private final Clock clock;
+  private final UnexpectedBytesListener unexpectedBytes;
   private long opened;
 
   /**
@@ -49,9 +50,14 @@
    *
    * @param group the event loop group that runs the connections
    * @param clock the process's clock
+   * @param unexpectedBytes receives reports of bytes that belong to no request
    */
-  ConnectionPool(final EventLoopGroup group, final Clock clock) {
+  ConnectionPool(
+      final EventLoopGroup group,
+      final Clock clock,
+      final UnexpectedBytesListener unexpectedBytes) {
     this.clock = clock;
+    this.unexpectedBytes = unexpectedBytes;
     this.bootstrap =
         new Bootstrap()
             .group(group)
@@ -124,7 +130,8 @@
       final Consumer<EndpointConnection> onReady,
       final Consumer<Throwable> onFailure) {
     final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-    final EndpointConnection connection = new EndpointConnection(endpoint, decoder, this);
+    final EndpointConnection connection =
+        new EndpointConnection(endpoint, decoder, this, unexpectedBytes);
     opened++;
     final ChannelFuture future =
         bootstrap
--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -15,6 +15,7 @@
 import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.relay.ResponseMatch;
+import org.bulrushweir.relay.UnexpectedBytes;
 
 /**
  * A connection to an endpoint, which handles one request at a time.
@@ -43,6 +44,7 @@
   private final EndpointResponseDecoder decoder;
   private final EndpointRecord endpoint;
   private final ConnectionPool pool;
+  private final UnexpectedBytesListener unexpectedBytes;
   private Channel channel;
   private ResponseListener listener;
   private String requestId;
@@ -62,14 +64,17 @@
    * @param endpoint the endpoint
    * @param decoder decodes the responses on this connection
    * @param pool receives the connection back after each complete response
+   * @param unexpectedBytes receives reports of bytes that belong to no waiting request
    */
   EndpointConnection(
       final EndpointRecord endpoint,
       final EndpointResponseDecoder decoder,
-      final ConnectionPool pool) {
+      final ConnectionPool pool,
+      final UnexpectedBytesListener unexpectedBytes) {
     this.endpoint = endpoint;
     this.decoder = decoder;
     this.pool = pool;
+    this.unexpectedBytes = unexpectedBytes;
   }
 
   @Override
@@ -134,6 +139,7 @@
   public void channelRead(final ChannelHandlerContext context, final Object message) {
     if (listener == null) {
       ReferenceCountUtil.release(message);
+      report(UnexpectedBytes.IDLE);
       context.close();
       return;
     }
@@ -156,18 +162,27 @@
     ReferenceCountUtil.release(message);
   }
 
+  private void report(final UnexpectedBytes kind) {
+    unexpectedBytes.onUnexpectedBytes(endpoint.id(), requestId, kind);
+  }
+
   private void handleHead(final HttpResponse response) {
+    if (EndpointResponseDecoder.isJoined(response)) {
+      report(UnexpectedBytes.JOINED_HEAD);
+    }
     final ResponseMatch match =
         response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             ? ResponseMatch.FOREIGN
             : ResponseMatch.of(ResponseTranslator.namedRequests(response), requestId, reused);
     skipping = match == ResponseMatch.FOREIGN;
     if (skipping) {
+      report(UnexpectedBytes.OTHER_REQUEST);
       skippedResponses++;
       failIfTooMuchIsSkipped();
       return;
     }
     if (match == ResponseMatch.AMBIGUOUS) {
+      report(UnexpectedBytes.AMBIGUOUS);
       fail("the response may belong to an earlier request");
       return;
     }
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.Map;
 import org.bulrushweir.relay.ResponseFraming;
+import org.bulrushweir.relay.StatusLineScanner;
 
 /** Decodes endpoints' responses; a response to a HEAD request has no body. */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
@@ -50,6 +52,25 @@
         : ResponseFraming.CONNECTION;
   }
 
+  /**
+   * Returns whether a head contains the status line of a further response. The head is then the
+   * start of one that broke off, followed by that of another response.
+   *
+   * @param response the head
+   * @return false for the head of a single response
+   */
+  static boolean isJoined(final HttpResponse response) {
+    if (StatusLineScanner.contains(response.status().reasonPhrase())) {
+      return true;
+    }
+    for (final Map.Entry<String, String> header : response.headers()) {
+      if (StatusLineScanner.contains(header.getKey() + ' ' + header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(final HttpMessage message) {
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -33,6 +33,12 @@
           .help("Attempts without a whole answer, by what happened.")
           .labelNames("result")
           .register(registry());
+  private final Counter unexpectedBytes =
+      Counter.builder()
+          .name("bulrushweir_gateway_unexpected_bytes_total")
+          .help("Times that an endpoint sent bytes that belong to no waiting request, by kind.")
+          .labelNames("kind")
+          .register(registry());
   private final Map<String, CounterDataPoint> requestCounters = new HashMap<>();
   private final Map<RequestKind, DistributionDataPoint> firstByteByKind =
       new EnumMap<>(RequestKind.class);
@@ -105,4 +111,13 @@
   public void recordFailedAttempt(final String result) {
     failedAttempts.labelValues(result).inc();
   }
+
+  /**
+   * Counts bytes of an endpoint that belong to no waiting request.
+   *
+   * @param kind the label value that names what was unexpected
+   */
+  public void recordUnexpectedBytes(final String kind) {
+    unexpectedBytes.labelValues(kind).inc();
+  }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -102,7 +102,8 @@
     }
     this.drainPolicy = new DrainPolicy(settings.graceMs());
     final RetryBudget retryBudget = new RetryBudget(settings.retryBudget());
-    this.pool = new ConnectionPool(loops.group(), clock);
+    final RequestLog requestLog = new RequestLog(settings.node(), clock, activePlan, metrics, log);
+    this.pool = new ConnectionPool(loops.group(), clock, requestLog::recordUnexpectedBytes);
     this.mesh =
         new PeerMesh(
             settings.node(),
@@ -123,28 +124,27 @@
             new CrashDetector(pool, quarantine, clock),
             drainPolicy,
             gate,
-            new RequestLog(settings.node(), clock, activePlan, metrics, log));
+            requestLog);
     final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
     gate.whenTablesRead(registration::start);
     this.endpointListener = new EndpointListener(directory, clock);
     this.followers =
         List.of(
-            new TableFollower(
+            follower(
                 feed,
                 SharedTable.CONFIGURATION,
                 registration.wrap(
-                    gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock))),
-                loop,
-                clock),
-            new TableFollower(
-                feed,
-                SharedTable.ENDPOINTS,
-                gate.wrap(SharedTable.ENDPOINTS, endpointListener),
-                loop,
-                clock));
+                    gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock)))),
+            follower(
+                feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpointListener)));
     addGauges(activePlan, tracker, log);
   }
 
+  private TableFollower follower(
+      final ChangeFeed feed, final SharedTable table, final TableListener listener) {
+    return new TableFollower(feed, table, listener, loops.loop(), clock);
+  }
+
   private AttemptPlanner planner(
       final EndpointDirectory directory,
       final EndpointTracker tracker,
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bulrushweir.api.Clock;
@@ -11,6 +12,7 @@
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.relay.UnexpectedBytes;
 
 /**
  * Counts and logs the outcomes of requests and attempts.
@@ -88,6 +90,26 @@
     offer("caller_failed", "", "", Optional.empty(), Optional.empty(), result);
   }
 
+  /**
+   * Records bytes from an endpoint that belong to no waiting request.
+   *
+   * @param endpoint the endpoint that sent the bytes
+   * @param request the id of the waiting request or, on an idle connection, of the last one
+   * @param kind what was unexpected
+   */
+  void recordUnexpectedBytes(
+      final EndpointId endpoint, final String request, final UnexpectedBytes kind) {
+    final String label = kind.name().toLowerCase(Locale.ROOT);
+    metrics.recordUnexpectedBytes(label);
+    offer(
+        "unexpected_bytes",
+        request,
+        "",
+        Optional.of(endpoint),
+        Optional.empty(),
+        withoutResponse(label, ""));
+  }
+
   /**
    * Records an attempt without a complete response.
    *
--- a/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
@@ -33,7 +33,8 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final AtomicLong now = new AtomicLong();
   private final PromptQuarantine quarantine = new PromptQuarantine();
-  private final ConnectionPool pool = new ConnectionPool(group, now::get);
+  private final ConnectionPool pool =
+      new ConnectionPool(group, now::get, (endpoint, request, kind) -> {});
   private final CrashDetector detector = new CrashDetector(pool, quarantine, now::get);
 
   @AfterEach
