Connections of endpoints that repeat answers are not reused for a while

Cause: a connection was trusted again right after its endpoint had sent bytes that belong to no request on it or on another one. Now such an endpoint gets a connection for each request for 30 s (ConnectionReusePolicy, without I/O; a new run of it starts anew). What remains is the first repetition within 30 s if it is that short and lies inside an answer. The head check allocates less.

--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -19,6 +19,8 @@
 import java.util.function.Consumer;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.relay.ConnectionReusePolicy;
+import org.bulrushweir.relay.UnexpectedBytes;
 
 /**
  * Pools open connections to endpoints for reuse.
@@ -40,6 +42,7 @@
   private static final int SEND_BUFFER_BYTES = 65_536;
 
   private final Map<EndpointRecord, Deque<EndpointConnection>> idleConnections = new HashMap<>();
+  private final ConnectionReusePolicy reusePolicy = new ConnectionReusePolicy();
   private final Bootstrap bootstrap;
   private final Clock clock;
   private final UnexpectedBytesListener unexpectedBytes;
@@ -130,8 +133,7 @@
       final Consumer<EndpointConnection> onReady,
       final Consumer<Throwable> onFailure) {
     final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-    final EndpointConnection connection =
-        new EndpointConnection(endpoint, decoder, this, unexpectedBytes);
+    final EndpointConnection connection = new EndpointConnection(endpoint, decoder, this);
     opened++;
     final ChannelFuture future =
         bootstrap
@@ -161,11 +163,41 @@
   }
 
   /**
-   * Returns an open connection to the pool, where it is idle from now on.
+   * Handles bytes that belong to no request: connections to their endpoint are not reused for a
+   * while.
+   *
+   * @param endpoint the endpoint that sent the bytes
+   * @param request the id of the waiting request or, on an idle connection, of the last one
+   * @param kind what was unexpected
+   */
+  void onUnexpectedBytes(
+      final EndpointRecord endpoint, final String request, final UnexpectedBytes kind) {
+    unexpectedBytes.onUnexpectedBytes(endpoint.id(), request, kind);
+    reusePolicy.recordUnexpectedBytes(endpoint, clock.nowMs());
+    List.copyOf(idleConnections.getOrDefault(endpoint, new ArrayDeque<>()))
+        .forEach(EndpointConnection::close);
+  }
+
+  /**
+   * Returns the number of endpoints whose connections are not reused.
+   *
+   * @return the count
+   */
+  int withoutReuse() {
+    return reusePolicy.size();
+  }
+
+  /**
+   * Returns an open connection to the pool, where it is idle from now on, or closes it if it must
+   * not be reused.
    *
    * @param connection the connection
    */
   void release(final EndpointConnection connection) {
+    if (!reusePolicy.mayReuse(connection.endpoint(), clock.nowMs())) {
+      connection.close();
+      return;
+    }
     connection.setIdleSince(clock.nowMs());
     idleConnections
         .computeIfAbsent(connection.endpoint(), key -> new ArrayDeque<>())
@@ -187,6 +219,7 @@
   /** Closes the connections whose idle time limit has passed. */
   void closeExpired() {
     final long nowMs = clock.nowMs();
+    reusePolicy.removeExpired(nowMs);
     final List<EndpointConnection> expired = new ArrayList<>();
     idleConnections
         .values()
--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -49,7 +49,6 @@
   private final EndpointResponseDecoder decoder;
   private final EndpointRecord endpoint;
   private final ConnectionPool pool;
-  private final UnexpectedBytesListener unexpectedBytes;
   private Channel channel;
   private ResponseListener listener;
   private String requestId = "";
@@ -59,7 +58,6 @@
   private boolean skipping;
   private int skippedResponses;
   private long skippedBytes;
-  private boolean foreignReceived;
   private boolean headReceived;
   private boolean keepAlive;
   private boolean failed;
@@ -71,18 +69,16 @@
    *
    * @param endpoint the endpoint
    * @param decoder decodes the responses on this connection
-   * @param pool receives the connection back after each complete response
-   * @param unexpectedBytes receives reports of bytes that belong to no waiting request
+   * @param pool receives the connection back after each complete response, and reports of bytes
+   *     that belong to no request
    */
   EndpointConnection(
       final EndpointRecord endpoint,
       final EndpointResponseDecoder decoder,
-      final ConnectionPool pool,
-      final UnexpectedBytesListener unexpectedBytes) {
+      final ConnectionPool pool) {
     this.endpoint = endpoint;
     this.decoder = decoder;
     this.pool = pool;
-    this.unexpectedBytes = unexpectedBytes;
   }
 
   @Override
@@ -180,7 +176,7 @@
   }
 
   private void report(final UnexpectedBytes kind) {
-    unexpectedBytes.onUnexpectedBytes(endpoint.id(), requestId, kind);
+    pool.onUnexpectedBytes(endpoint, requestId, kind);
   }
 
   private void handleHead(final HttpResponse response) {
@@ -220,7 +216,6 @@
       return;
     }
     report(UnexpectedBytes.OTHER_REQUEST);
-    foreignReceived = true;
     if (framing == ResponseFraming.CONNECTION) {
       fail("a response to another request does not end before its connection");
       return;
@@ -295,8 +290,7 @@
   private void complete() {
     final ResponseListener responseListener = listener;
     listener = null;
-    // An endpoint that has repeated a response may have more of it on its way.
-    if (keepAlive && channel.isActive() && !decoder.hasFollowing() && !foreignReceived) {
+    if (keepAlive && channel.isActive() && !decoder.hasFollowing()) {
       setAutoRead(true);
       pool.release(this);
     } else {
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import org.bulrushweir.relay.ResponseBodyCheck;
@@ -72,8 +73,15 @@
         || StatusLineScanner.contains(response.status().reasonPhrase())) {
       return true;
     }
-    for (final Map.Entry<String, String> header : response.headers()) {
-      if (StatusLineScanner.contains(header.getKey() + ' ' + header.getValue())) {
+    final Iterator<Map.Entry<CharSequence, CharSequence>> headers =
+        response.headers().iteratorCharSequence();
+    while (headers.hasNext()) {
+      final Map.Entry<CharSequence, CharSequence> header = headers.next();
+      final StatusLineScanner scanner = new StatusLineScanner();
+      // A line without a colon is split at its first space.
+      if (scanner.acceptAll(header.getKey())
+          | scanner.accept((byte) ' ')
+          | scanner.acceptAll(header.getValue())) {
         return true;
       }
     }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -189,6 +189,10 @@
         quarantine::size);
     metrics.gauge(
         "bulrushweir_gateway_log_lines_dropped", "Log lines that were dropped.", log::dropped);
+    metrics.gauge(
+        "bulrushweir_gateway_endpoints_without_reuse",
+        "Endpoints whose connections are not reused, as they sent bytes that belong to no request.",
+        pool::withoutReuse);
     metrics.gauge(
         "bulrushweir_gateway_connections_opened", "Connections opened to endpoints.", pool::opened);
   }
--- a/src/main/java/org/bulrushweir/relay/StatusLineScanner.java
+++ b/src/main/java/org/bulrushweir/relay/StatusLineScanner.java
@@ -25,13 +25,21 @@
    * @return true if it contains one in full
    */
   public static boolean contains(final CharSequence text) {
-    final StatusLineScanner scanner = new StatusLineScanner();
+    return new StatusLineScanner().acceptAll(text);
+  }
+
+  /**
+   * Handles the next characters.
+   *
+   * @param text the characters, of which each stands for a byte
+   * @return true if one of them ends the status of a status line
+   */
+  public boolean acceptAll(final CharSequence text) {
+    boolean found = false;
     for (int index = 0; index < text.length(); index++) {
-      if (scanner.accept((byte) text.charAt(index))) {
-        return true;
-      }
+      found |= accept((byte) text.charAt(index));
     }
-    return false;
+    return found;
   }
 
   /**
--- a/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
@@ -103,8 +103,7 @@
   private final class Connection {
 
     private final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-    private final EndpointConnection handler =
-        new EndpointConnection(ENDPOINT, decoder, pool, (endpoint, request, kind) -> {});
+    private final EndpointConnection handler = new EndpointConnection(ENDPOINT, decoder, pool);
     private final EmbeddedChannel channel =
         new EmbeddedChannel(
             new IdleBytesHandler(handler), new HttpRequestEncoder(), decoder, handler);
--- a/src/test/java/org/bulrushweir/gateway/RepeatedAnswerOrdersTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RepeatedAnswerOrdersTest.java
@@ -38,6 +38,12 @@
   /** The time in which a repetition reaches an idle connection, in milliseconds. */
   private static final long IDLE_MS = 8;
 
+  /** The requests after which the endpoint registers a new run. */
+  private static final int REQUESTS_OF_RUN = 3;
+
+  /** The time in which a registration reaches the gateway, in milliseconds. */
+  private static final long REGISTRATION_MS = 10;
+
   private static final long DEADLINE_MS = 1_000;
   private static final long CALL_TIMEOUT_MS = 5_000;
 
@@ -107,16 +113,22 @@
     }
   }
 
-  private void startGatewayBefore(final StutteringEndpoint endpoint, final ServiceName service)
-      throws InterruptedException {
+  /** Registers a run of the endpoint, to which connections may be reused whatever came before. */
+  private void register(
+      final StutteringEndpoint endpoint, final Kind kind, final long startedAtMs) {
+    final ServiceName service = kind.stream() ? DemoFleet.ASSISTANT : DemoFleet.ORDERS;
     fleet
         .platform()
         .put(
             SharedTable.ENDPOINTS,
             "stuttering-1",
             EndpointSide.registration(
-                service, "127.0.0.1:" + endpoint.port(), new ZoneName("zone-1"), 8, false, 1));
-    callersPort = fleet.startGateway("gateway-1").callersPort();
+                service,
+                "127.0.0.1:" + endpoint.port(),
+                new ZoneName("zone-1"),
+                8,
+                false,
+                startedAtMs));
   }
 
   private void awaitServed(final Kind kind) throws InterruptedException {
@@ -154,10 +166,15 @@
     final List<String> faults = new ArrayList<>();
     int answered = 0;
     try (StutteringEndpoint endpoint = new StutteringEndpoint(kind.stream())) {
-      startGatewayBefore(endpoint, kind.stream() ? DemoFleet.ASSISTANT : DemoFleet.ORDERS);
+      register(endpoint, kind, 1);
+      callersPort = fleet.startGateway("gateway-1").callersPort();
       awaitServed(kind);
       StutterScript previous = null;
       for (int number = 0; number < REQUESTS; number++) {
+        if (number % REQUESTS_OF_RUN == 0) {
+          register(endpoint, kind, 2 + number);
+          Thread.sleep(REGISTRATION_MS);
+        }
         final String id = kind.name().toLowerCase() + "-" + number;
         final StutterScript script =
             StutterScript.draw(random, kind.stream(), StutterScript.Moment.values());
