Each call to the store has a connection of its own

An answer that the store writes once more would have been read as the answer to the next call on the same connection, as nothing in it names the call: a refused transaction counted as committed, a committed one as certainly not done, changes of one table were applied to another whose own were skipped, a row went back, an object had another one's content. An answer cut off in its head lent its status to the next one: a refusal with 503 became a success.

RepeatedStoreAnswerTest writes each answer a second time over real sockets, at three moments (with it, on the idle connection, after the next request) and at six lengths.

No answer is matched by its content: an empty page, a commit and a refusal name nothing, and parts of two answers join. A call that has its connection to itself can get nothing of another. Cost: one connection set-up for each call, the number of calls stays. A connection that is not established within the timeout of a call ends the call, so that a lost packet is noticed before the wait of a poll is over.

--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -34,7 +35,7 @@
 import org.bulrushweir.store.Vm;
 import org.bulrushweir.store.Write;
 
-/** Reaches the platform's store over HTTP; the only client of it. */
+/** Reaches the platform's store over HTTP, each call on a connection of its own. */
 public final class HttpPlatformStore implements PlatformStore, ChangeFeed {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -64,12 +65,13 @@
   /**
    * Creates the client.
    *
-   * @param client the HTTP client to share connections with
+   * @param client the HTTP client to share threads with
    * @param base the platform's base URL
    * @param timeoutMs how long a call may take, in milliseconds, besides what it is asked to wait
    */
   public HttpPlatformStore(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
-    this.client = client.newBuilder().retryOnConnectionFailure(false).build();
+    this.client =
+        SingleUseConnections.of(client).connectTimeout(Duration.ofMillis(timeoutMs)).build();
     this.base = base;
     this.timeoutMs = timeoutMs;
   }
