Lists of engines' caches are read on new connections

The connection to an engine was kept after its list was read. An engine that writes its list once more had it read as the answer to the next call, so that requests would be placed by what the engine held before; the idle connection also took one of those that the engine accepts.

Each call opens a connection and closes it. Gateways read each list once at their start, so the number of connections is the same.

--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -17,7 +17,7 @@
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.store.PlatformException;
 
-/** Asks engines which parts of prompts they hold. */
+/** Asks engines which parts of prompts they hold, each time on a new connection. */
 public final class EngineCacheClient {
 
   private static final String PATH = "kv-list";
@@ -38,12 +38,7 @@
    * @param timeoutMs how long a call may take, in milliseconds
    */
   public EngineCacheClient(final OkHttpClient client, final long timeoutMs) {
-    this.client =
-        client
-            .newBuilder()
-            .retryOnConnectionFailure(false)
-            .callTimeout(Duration.ofMillis(timeoutMs))
-            .build();
+    this.client = SingleUseConnections.of(client).callTimeout(Duration.ofMillis(timeoutMs)).build();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
+++ b/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
@@ -11,27 +11,60 @@
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.testing.RawAnswer;
+import org.bulrushweir.testing.Repetition;
+import org.bulrushweir.testing.StutteringServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests the reading of what engines hold. */
 class EngineCacheClientTest {
 
+  private static final long LIST_TIMEOUT_MS = 10_000;
+
+  private static EndpointRecord engine(final int port) {
+    return new EndpointRecord(
+        new EndpointId("engine-1"),
+        new ServiceName("assistant"),
+        "127.0.0.1",
+        port,
+        new ZoneName("zone-1"),
+        8,
+        false,
+        1);
+  }
+
   /** Guards against an engine whose address ends the reading of all engines' caches. */
   @Test
   void engineWithoutUsableAddressFailsAlone() {
     for (final int port : List.of(0, -1, 65_536)) {
-      final EndpointRecord engine =
-          new EndpointRecord(
-              new EndpointId("engine-1"),
-              new ServiceName("assistant"),
-              "127.0.0.1",
-              port,
-              new ZoneName("zone-1"),
-              8,
-              false,
-              1);
       assertTrue(
-          new EngineCacheClient(new OkHttpClient(), 100).held(engine).isCompletedExceptionally());
+          new EngineCacheClient(new OkHttpClient(), 100)
+              .held(engine(port))
+              .isCompletedExceptionally());
+    }
+  }
+
+  /** Guards against the list of an engine's cache that was read before. */
+  @ParameterizedTest
+  @MethodSource("org.bulrushweir.testing.Repetition#all")
+  void listThatIsSentAgainIsNotTakenForTheNextOne(final Repetition repetition) throws Exception {
+    final OkHttpClient http = new OkHttpClient();
+    try (StutteringServer server =
+        new StutteringServer(
+            repetition,
+            (path, number) ->
+                RawAnswer.ok("{\"held\":[[\"\",\"" + (number + 1) + "\",16,\"m\"]]}"))) {
+      final EngineCacheClient caches = new EngineCacheClient(http, LIST_TIMEOUT_MS);
+      final EndpointRecord engine = engine(server.port());
+      for (int segment = 1; segment <= 3; segment++) {
+        assertEquals(List.of(new PromptSegment(segment, 16)), caches.held(engine).join());
+        StutteringServer.awaitIdleRepetitions();
+      }
+    } finally {
+      http.dispatcher().executorService().shutdown();
+      http.connectionPool().evictAll();
     }
   }
 
