The demo's caller tells answers to other requests

DemoCaller keeps connections as callers do, and took any answer on them for the one to its request, so the tests and the demo that use it could not see a gateway that answers twice.

An answer that names another request counts as none. One that names no request, as a refusal of a gateway, can still not be told apart.

--- a/src/main/java/org/bulrushweir/demo/DemoCaller.java
+++ b/src/main/java/org/bulrushweir/demo/DemoCaller.java
@@ -44,6 +44,9 @@
     final long startNanos = System.nanoTime();
     try (Response response = client.newCall(request.build()).execute()) {
       final String body = response.body().string();
+      if (!EndpointSide.mayAnswer(response::headers, call.requestId())) {
+        throw new IOException("the answer names another request");
+      }
       return new DemoAnswer(
           response.code(),
           body,
--- a/src/main/java/org/bulrushweir/platform/EndpointSide.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointSide.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
@@ -106,6 +108,18 @@
     }
   }
 
+  /**
+   * Tells whether an answer may belong to a caller's request.
+   *
+   * @param headers returns all values of a header of the answer
+   * @param requestId the request's id
+   * @return false if the answer names another request
+   */
+  public static boolean mayAnswer(
+      final Function<String, List<String>> headers, final String requestId) {
+    return headers.apply(HeaderNames.REQUEST_ID.toString()).stream().allMatch(requestId::equals);
+  }
+
   /**
    * Writes an endpoint's registration.
    *
--- /dev/null
+++ b/src/test/java/org/bulrushweir/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what the demo sends and shows. */
+package org.bulrushweir.demo;
