--- a/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -100,4 +101,16 @@
       assertEquals(List.of(), findAfterBrokenAttempts(running.getLocalPort()));
     }
   }
+
+  /** Guards against a check that reads bytes which nobody asked for. */
+  @Test
+  void responseThatNobodyAskedForIsNoCrash() throws Exception {
+    final byte[] refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\nHTTP/1.1 2"
+            .getBytes(StandardCharsets.US_ASCII);
+    try (RawServer running =
+        new RawServer(connection -> connection.getOutputStream().write(refusal))) {
+      assertEquals(List.of(), findAfterBrokenAttempts(running.port()));
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/router/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of routers' connections with sidecars. */
+package org.bulrushweir.router;
