Refused requests do not renew a quarantine

A prompt segment stayed in quarantine for 300 s after the last request with it, refused ones included. If a whole pool of engines had crashed for another reason under prompts that share a segment, callers that came at least every five minutes were refused for good while the new engines were sound.

A quarantine now ends 300 s after the last crash that has the segment as a suspect; such a crash renews it, a request does not. Gateways took over the times of peers' reports, which are a little late each time, so a quarantine could be returned from one to another without end; now a gateway takes over only segments that it does not have, and none in the last 10 s. A full set still displaces only segments without a request for 60 s.

PromptQuarantineTest.quarantineEndsSomeTimeAfterTheLastCrashWhateverIsAsked, .crashUnderSegmentInQuarantineRenewsIt and .slowReportsDoNotProlongTheQuarantine failed before; the last one also fails if either condition on peers' reports is dropped. They replace quarantineLastsAsLongAsRequestsCome, which demanded the fault: it asserted that a request renews the quarantine.

--- a/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -23,7 +23,8 @@
  * since. Segments that sound requests use too are cleared by the answers to these. Crashes that a
  * quarantined segment explains do not count against their other suspects, and crashes at the same
  * moment count once, since engines that share a rack or a network end together through no fault of
- * a prompt.
+ * a prompt. A quarantine ends some minutes after the last crash with the segment as a suspect,
+ * however many requests with it are refused meanwhile.
  *
  * <p>Not thread-safe; the caller confines it to one thread.
  */
@@ -131,7 +132,7 @@
     }
     for (final PromptSegment segment : PromptSegment.shared(prompt)) {
       if (quarantined.contains(segment.id())) {
-        quarantined.add(segment.id(), nowMs, nowMs);
+        quarantined.recordRequest(segment.id(), nowMs);
         return OptionalLong.of(segment.id());
       }
     }
@@ -155,7 +156,8 @@
    */
   public List<Long> update(final long nowMs) {
     crashes.values().removeIf(crash -> nowMs - crash.seenAtMs > EVIDENCE_MS);
-    quarantined.removeUnused(nowMs);
+    crashes.values().forEach(crash -> renewQuarantine(crash, nowMs));
+    quarantined.removeLapsed(nowMs);
     final List<Long> added = new ArrayList<>();
     List<Long> found = quarantineMostSuspect(nowMs);
     // Each round adds a segment, and no later round displaces it: the capacity bounds the rounds.
@@ -166,6 +168,13 @@
     return added;
   }
 
+  /** Records a crash with the segments in quarantine that are its suspects. */
+  private void renewQuarantine(final Crash crash, final long nowMs) {
+    crash.suspects.stream()
+        .filter(quarantined::contains)
+        .forEach(segment -> quarantined.add(segment, crash.seenAtMs, nowMs));
+  }
+
   /**
    * Quarantines the segments that explain most crashes. Of many that can't be told apart, all
    * gateways choose the same.
@@ -176,10 +185,18 @@
     return mostSuspect(nowMs).stream()
         .sorted()
         .limit(MAX_TIED)
-        .filter(segment -> quarantined.add(segment, nowMs, nowMs))
+        .filter(segment -> quarantined.add(segment, lastCrashMs(segment), nowMs))
         .toList();
   }
 
+  private long lastCrashMs(final long segment) {
+    return crashes.values().stream()
+        .filter(crash -> crash.suspects.contains(segment))
+        .mapToLong(crash -> crash.seenAtMs)
+        .max()
+        .orElseThrow();
+  }
+
   /** Returns the segments that explain most crashes, empty if the evidence does not suffice. */
   private Set<Long> mostSuspect(final long nowMs) {
     int most = MIN_CRASHES;
@@ -293,8 +310,11 @@
       clear(answered.segment(), nowMs - Math.max(0, answered.ageMs()));
     }
     for (final SegmentAge reported : report.quarantined()) {
-      if (!wasAnsweredRecently(reported.segment(), nowMs)) {
-        quarantined.add(reported.segment(), nowMs - Math.max(0, reported.ageMs()), nowMs);
+      final long ageMs = Math.max(0, reported.ageMs());
+      if (ageMs <= QuarantinedSegments.MAX_TAKEN_OVER_MS
+          && !quarantined.contains(reported.segment())
+          && !wasAnsweredRecently(reported.segment(), nowMs)) {
+        quarantined.add(reported.segment(), nowMs - ageMs, nowMs);
       }
     }
   }
