--- /dev/null
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -0,0 +1,118 @@
+package org.bulrushweir.platform;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.bulrushweir.store.PlatformException;
+
+/** Sends calls to the store, each on a connection of its own. */
+final class StoreCalls {
+
+  /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
+  private static final long MAX_REPLY_BYTES = 12L << 20;
+
+  /** The era of a store that does not state one. */
+  private static final long UNSTATED_ERA = 0;
+
+  private final OkHttpClient client;
+  private final HttpUrl base;
+  private final long timeoutMs;
+
+  /**
+   * Creates the client.
+   *
+   * @param client the HTTP client to share threads with
+   * @param base the platform's base URL
+   * @param timeoutMs how long a call may take, in milliseconds, besides what it is asked to wait
+   */
+  StoreCalls(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
+    this.client =
+        SingleUseConnections.of(client).connectTimeout(Duration.ofMillis(timeoutMs)).build();
+    this.base = base;
+    this.timeoutMs = timeoutMs;
+  }
+
+  /**
+   * Starts the URL of a call.
+   *
+   * @param path the call's path
+   * @return the builder of the URL
+   */
+  HttpUrl.Builder url(final String path) {
+    return base.newBuilder().addPathSegments(path.substring(1));
+  }
+
+  /**
+   * Sends a call.
+   *
+   * @param request the request
+   * @return the answer; fails with a {@link PlatformException} if there is none in time
+   */
+  CompletableFuture<StoreReply> send(final Request request) {
+    return sendAndWait(request, 0);
+  }
+
+  /**
+   * Sends a call that asks the store to wait.
+   *
+   * @param request the request
+   * @param waitMs how long it asks the store to wait, in milliseconds
+   * @return the answer; fails with a {@link PlatformException} if there is none in time
+   */
+  CompletableFuture<StoreReply> sendAndWait(final Request request, final long waitMs) {
+    final CompletableFuture<StoreReply> future = new CompletableFuture<>();
+    final Call call = client.newCall(request);
+    call.timeout().timeout(timeoutMs + waitMs, TimeUnit.MILLISECONDS);
+    call.enqueue(new ReplyCallback(future));
+    return future;
+  }
+
+  /**
+   * Completes a future from the HTTP client's callback.
+   *
+   * @param future the future to complete
+   */
+  private record ReplyCallback(CompletableFuture<StoreReply> future) implements Callback {
+
+    @Override
+    public void onFailure(final Call call, final IOException e) {
+      final boolean neverSent = e instanceof ConnectException;
+      future.completeExceptionally(
+          new PlatformException("the platform does not answer: " + e.getMessage(), !neverSent, e));
+    }
+
+    private static long era(final Response response) {
+      final String text = response.header(StorePaths.ERA);
+      if (text == null) {
+        return UNSTATED_ERA;
+      }
+      try {
+        return Long.parseLong(text.strip());
+      } catch (NumberFormatException e) {
+        throw new PlatformException("the platform's era is not a number: " + text, true, e);
+      }
+    }
+
+    @Override
+    public void onResponse(final Call call, final Response response) {
+      try (response) {
+        future.complete(
+            new StoreReply(
+                response.code(), BoundedBody.read(response, MAX_REPLY_BYTES), era(response)));
+      } catch (IOException e) {
+        future.completeExceptionally(
+            new PlatformException("the platform's answer broke off", true, e));
+      } catch (PlatformException e) {
+        future.completeExceptionally(e);
+      }
+    }
+  }
+}
--- a/src/main/java/org/bulrushweir/platform/StorePaths.java
+++ b/src/main/java/org/bulrushweir/platform/StorePaths.java
@@ -47,6 +47,9 @@
   /** The table that lists the VMs of the product's own deployments. */
   public static final String VM_TABLE = "bulrushweir-vms";
 
+  /** The name of the partition of tables without partitions. */
+  static final String NO_PARTITION = "";
+
   private StorePaths() {}
 
   /**
--- a/src/test/java/org/bulrushweir/testing/Repetition.java
+++ b/src/test/java/org/bulrushweir/testing/Repetition.java
@@ -25,6 +25,9 @@
 
   /** The part of an answer that is written before it breaks off. */
   public enum Extent {
+    /** Nothing; the server is sound. */
+    NOTHING,
+
     /** The start of the status line. */
     START,
 
@@ -44,17 +47,23 @@
     WHOLE
   }
 
+  /** The repetition of a server that is sound. */
+  public static final Repetition NONE = new Repetition(Moment.WITH_THE_ANSWER, Extent.NOTHING);
+
   private static final int START_BYTES = 5;
 
   /**
    * Returns all repetitions.
    *
-   * @return each moment with each extent
+   * @return each moment with each extent but nothing
    */
   public static Stream<Repetition> all() {
     return Arrays.stream(Moment.values())
         .flatMap(
-            moment -> Arrays.stream(Extent.values()).map(extent -> new Repetition(moment, extent)));
+            moment ->
+                Arrays.stream(Extent.values())
+                    .filter(extent -> extent != Extent.NOTHING)
+                    .map(extent -> new Repetition(moment, extent)));
   }
 
   /**
@@ -68,6 +77,7 @@
     final int head = answer.head().length();
     final int length =
         switch (extent) {
+          case NOTHING -> 0;
           case START -> START_BYTES;
           case STATUS_LINE -> answer.head().indexOf('\n') + 1;
           case HEADERS -> head - 2;
