A restoration between two pages begins the listing anew

If the store was restored from an older copy between two pages of a range, the reading failed with HistoryLostException. The follower of a table reads anew then, but for the product's own rows and the list of VMs nobody did: an operator's command would have ended with a stack trace, as only failures of the platform are reported as such.

RowRanges begins a range anew, three times at most, and then fails as when the platform does not answer. RowRangesTest.rangeIsReadAnewAfterRestoration BetweenTwoPages and .rangeOfStoreThatIsRestoredAgainAndAgainCanNotBeRead failed before with HistoryLostException.

--- a/src/main/java/org/bulrushweir/platform/RowRanges.java
+++ b/src/main/java/org/bulrushweir/platform/RowRanges.java
@@ -6,10 +6,14 @@
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 import org.bulrushweir.store.HistoryLostException;
+import org.bulrushweir.store.PlatformException;
 
 /** Reads ranges of the store's rows, which it returns in pages. */
 final class RowRanges {
 
+  /** How often a range is begun before it counts as unreadable. */
+  static final int MAX_ATTEMPTS = 3;
+
   private final StoreCalls calls;
 
   /**
@@ -22,21 +26,46 @@
   }
 
   /**
-   * Reads all rows of a range, page by page.
+   * Reads all rows of a range, page by page. Begins anew if the store was restored between two
+   * pages, a few times at most.
    *
    * @param table the table
    * @param from the first key
    * @param to the key after the last one
-   * @return the rows; fails with a {@link HistoryLostException} if the store was restored meanwhile
+   * @return the rows, all of one era
    */
   CompletableFuture<RowsPage> all(final String table, final String from, final String to) {
+    return attempt(table, from, to, 1);
+  }
+
+  private CompletableFuture<RowsPage> attempt(
+      final String table, final String from, final String to, final int number) {
+    return pages(table, from, to)
+        .exceptionallyCompose(
+            failure -> {
+              if (!(failure.getCause() instanceof HistoryLostException)) {
+                return CompletableFuture.failedFuture(failure);
+              }
+              if (number >= MAX_ATTEMPTS) {
+                return CompletableFuture.failedFuture(
+                    new PlatformException(
+                        "the platform was restored while table " + table + " was read",
+                        false,
+                        failure));
+              }
+              return attempt(table, from, to, number + 1);
+            });
+  }
+
+  private CompletableFuture<RowsPage> pages(
+      final String table, final String from, final String to) {
     return first(table, from, to)
         .thenCompose(
             page -> {
               if (!Boolean.TRUE.equals(page.message().more()) || page.rows().isEmpty()) {
                 return CompletableFuture.completedFuture(page);
               }
-              return all(table, page.rows().getLast().key() + '\0', to)
+              return pages(table, page.rows().getLast().key() + '\0', to)
                   .thenApply(rest -> joined(page, rest));
             });
   }
--- a/src/test/java/org/bulrushweir/platform/RowRangesTest.java
+++ b/src/test/java/org/bulrushweir/platform/RowRangesTest.java
@@ -1,11 +1,17 @@
 package org.bulrushweir.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
+import org.bulrushweir.store.PlatformException;
 import org.bulrushweir.testing.RawAnswer;
 import org.bulrushweir.testing.Repetition;
 import org.bulrushweir.testing.StutteringServer;
@@ -59,4 +65,33 @@
       assertEquals(9, rows.message().version());
     }
   }
+
+  /** Guards against a restoration between two pages that ends the reading of a range. */
+  @Test
+  void rangeIsReadAnewAfterRestorationBetweenTwoPages() throws IOException {
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE, (path, number) -> page(path, number == 0 ? 1 : 2, number % 2 == 0))) {
+      final RowsPage rows = ranges(server).all(TABLE, FROM, TO).join();
+      assertEquals(List.of("a", "b"), keys(rows));
+      assertEquals(2, rows.era());
+    }
+  }
+
+  @Test
+  void rangeOfStoreThatIsRestoredAgainAndAgainCanNotBeRead() throws IOException {
+    final AtomicInteger requests = new AtomicInteger();
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) -> {
+              requests.incrementAndGet();
+              return page(path, number, number % 2 == 0);
+            })) {
+      final CompletionException failure =
+          assertThrows(CompletionException.class, () -> ranges(server).all(TABLE, FROM, TO).join());
+      assertFalse(assertInstanceOf(PlatformException.class, failure.getCause()).effectPossible());
+    }
+    assertEquals(2 * RowRanges.MAX_ATTEMPTS, requests.get());
+  }
 }
