An answer without an era is no restoration of the store

Such an answer now has the era that was stated last. What remains: an answer without an era before the first stated one counts as era 0.

--- a/src/main/java/org/bulrushweir/platform/StoreCalls.java
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -19,13 +19,13 @@
   /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
   private static final long MAX_REPLY_BYTES = 12L << 20;
 
-  /** The era of a store that does not state one. */
-  private static final long UNSTATED_ERA = 0;
-
   private final OkHttpClient client;
   private final HttpUrl base;
   private final long timeoutMs;
 
+  /** The era that the last answer with one stated; zero before. */
+  private volatile long statedEra;
+
   /**
    * Creates the client.
    *
@@ -76,11 +76,31 @@
   }
 
   /**
-   * Completes a future from the HTTP client's callback.
-   *
-   * @param future the future to complete
+   * Returns the era of an answer. One that states none, as an intermediary's, tells nothing about a
+   * restoration.
    */
-  private record ReplyCallback(CompletableFuture<StoreReply> future) implements Callback {
+  private long era(final Response response) {
+    final String text = response.header(StorePaths.ERA);
+    if (text == null) {
+      return statedEra;
+    }
+    try {
+      final long era = Long.parseLong(text.strip());
+      statedEra = era;
+      return era;
+    } catch (NumberFormatException e) {
+      throw new PlatformException("the platform's era is not a number: " + text, true, e);
+    }
+  }
+
+  /** Completes a future from the HTTP client's callback. */
+  private final class ReplyCallback implements Callback {
+
+    private final CompletableFuture<StoreReply> future;
+
+    private ReplyCallback(final CompletableFuture<StoreReply> future) {
+      this.future = future;
+    }
 
     @Override
     public void onFailure(final Call call, final IOException e) {
@@ -89,18 +109,6 @@
           new PlatformException("the platform does not answer: " + e.getMessage(), !neverSent, e));
     }
 
-    private static long era(final Response response) {
-      final String text = response.header(StorePaths.ERA);
-      if (text == null) {
-        return UNSTATED_ERA;
-      }
-      try {
-        return Long.parseLong(text.strip());
-      } catch (NumberFormatException e) {
-        throw new PlatformException("the platform's era is not a number: " + text, true, e);
-      }
-    }
-
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
--- a/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
+++ b/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +25,9 @@
 import org.bulrushweir.store.SharedTable;
 import org.bulrushweir.store.Transaction;
 import org.bulrushweir.store.Vm;
+import org.bulrushweir.testing.RawAnswer;
+import org.bulrushweir.testing.Repetition;
+import org.bulrushweir.testing.StutteringServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -148,4 +153,25 @@
             CompletionException.class, () -> store.changes(SharedTable.ENDPOINTS, 0, 100).join());
     assertInstanceOf(HistoryLostException.class, failure.getCause());
   }
+
+  /** Guards against answers without an era that pass for restorations, each with a snapshot. */
+  @Test
+  void answerThatStatesNoEraIsOfTheOneStatedBefore() throws IOException {
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) ->
+                new RawAnswer(
+                    200,
+                    number % 2 == 0 ? "Store-Era: " + (number < 4 ? 3 : 4) + "\r\n" : "",
+                    "{\"rows\":[],\"ver\":1}"))) {
+      final HttpPlatformStore follower =
+          new HttpPlatformStore(client, HttpUrl.get(server.url()), TIMEOUT_MS);
+      final List<Long> eras = new ArrayList<>();
+      for (int call = 0; call < 6; call++) {
+        eras.add(follower.changes(SharedTable.ENDPOINTS, 1, 0).join().era());
+      }
+      assertEquals(List.of(3L, 3L, 3L, 3L, 4L, 4L), eras);
+    }
+  }
 }
--- a/src/test/java/org/bulrushweir/platform/RowRangesTest.java
+++ b/src/test/java/org/bulrushweir/platform/RowRangesTest.java
@@ -94,4 +94,18 @@
     }
     assertEquals(2 * RowRanges.MAX_ATTEMPTS, requests.get());
   }
+
+  /** Guards against a page without a stated era that passes for a restoration. */
+  @Test
+  void pageThatStatesNoEraBelongsToTheOneStatedBefore() throws IOException {
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) -> {
+              final RawAnswer page = page(path, 1, number == 0);
+              return number == 0 ? page : new RawAnswer(200, page.body());
+            })) {
+      assertEquals(1, ranges(server).all(TABLE, FROM, TO).join().era());
+    }
+  }
 }
