A row of the list of VMs without a value is left out

A row without a value, or with one that is no text, ended the reading of the whole list of VMs with a NullPointerException: routers would keep the list that they had, and operators' commands would fail, because of one odd row.

Such a row is left out now, as is one whose value can't be read. Before: HttpPlatformStoreTest.rowOfVmsWithoutValueIsLeftOut failed with the exception.

--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -109,6 +109,10 @@
   }
 
   private static Optional<Vm> vm(final StoreMessages.RowMessage row) {
+    if (row.value() == null) {
+      logger.atFine().log("VM %s: has no value", row.key());
+      return Optional.empty();
+    }
     final FindingCollector findings = new FindingCollector();
     final Optional<Vm> vm = VmDecoder.decode(row.key(), decode(row.value()), findings);
     findings.findings().forEach(finding -> logger.atFine().log("%s", finding));
--- a/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
+++ b/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
@@ -7,7 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -174,4 +176,26 @@
       assertEquals(List.of(3L, 3L, 3L, 3L, 4L, 4L), eras);
     }
   }
+
+  /** Guards against a list of VMs that can't be read because a row has no value. */
+  @Test
+  void rowOfVmsWithoutValueIsLeftOut() throws IOException {
+    final String vm =
+        "{\"name\":\"e1\",\"role\":\"ENDPOINT\",\"host\":\"10.0.0.1\",\"peer_port\":7000,"
+            + "\"zone\":\"zone-1\",\"service\":\"assistant\",\"state\":\"LIVE\"}";
+    final String value = Base64.getEncoder().encodeToString(vm.getBytes(StandardCharsets.UTF_8));
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) ->
+                RawAnswer.ok(
+                    "{\"rows\":[{\"key\":\"e0\",\"ver\":1},{\"key\":\"e1\",\"value\":\""
+                        + value
+                        + "\",\"ver\":2},{\"key\":\"e2\",\"value\":null,\"ver\":3},"
+                        + "{\"key\":\"e3\",\"value\":7,\"ver\":4},{\"ver\":5},7],\"ver\":5}"))) {
+      final HttpPlatformStore reader =
+          new HttpPlatformStore(client, HttpUrl.get(server.url()), TIMEOUT_MS);
+      assertEquals(List.of("e1"), reader.vms().join().stream().map(Vm::name).toList());
+    }
+  }
 }
