Registrations and VMs share the parsing of their JSON

VmDecoder and EndpointDecoder repeated how a text that is not JSON becomes a finding; JsonReader.parse does it for both.

--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -1,9 +1,7 @@
 package org.bulrushweir.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.Finding;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
@@ -29,13 +27,12 @@
    */
   public Optional<EndpointRecord> decode(
       final String key, final String text, final FindingCollector findings) {
-    final JsonReader reader;
-    try {
-      reader = new JsonReader("endpoint " + key, JsonReader.MAPPER.readTree(text), findings);
-    } catch (JsonProcessingException e) {
-      findings.add(new Finding("endpoint " + key, 0, 0, "is not JSON"));
-      return Optional.empty();
-    }
+    return JsonReader.parse("endpoint " + key, text, findings)
+        .flatMap(reader -> decode(key, reader, findings));
+  }
+
+  private static Optional<EndpointRecord> decode(
+      final String key, final JsonReader reader, final FindingCollector findings) {
     final Optional<EndpointId> id = id(key, reader);
     final Optional<ServiceName> service = reader.value("service", ServiceName::new);
     final Optional<ZoneName> zone = reader.value("zone", ZoneName::new);
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.platform;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
@@ -34,6 +35,24 @@
     this.findings = findings;
   }
 
+  /**
+   * Parses an entry that others may have written.
+   *
+   * @param place where the entry stands, for findings
+   * @param text the JSON text
+   * @param findings where findings go
+   * @return the reader, empty after a finding if the text is not JSON
+   */
+  static Optional<JsonReader> parse(
+      final String place, final String text, final FindingCollector findings) {
+    try {
+      return Optional.of(new JsonReader(place, MAPPER.readTree(text), findings));
+    } catch (JsonProcessingException e) {
+      findings.add(new Finding(place, 0, 0, "is not JSON"));
+      return Optional.empty();
+    }
+  }
+
   JsonReader child(final String field) {
     return new JsonReader(place + "." + field, node.path(field), findings);
   }
--- a/src/main/java/org/bulrushweir/platform/VmDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/VmDecoder.java
@@ -1,9 +1,7 @@
 package org.bulrushweir.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.Optional;
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.Finding;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
@@ -29,14 +27,11 @@
    * @return the VM, empty if there is any finding
    */
   static Optional<Vm> decode(final String key, final String text, final FindingCollector findings) {
-    final String place = "VM " + key;
-    final JsonReader reader;
-    try {
-      reader = new JsonReader(place, JsonReader.MAPPER.readTree(text), findings);
-    } catch (JsonProcessingException e) {
-      findings.add(new Finding(place, 0, 0, "is not JSON"));
-      return Optional.empty();
-    }
+    return JsonReader.parse("VM " + key, text, findings)
+        .flatMap(reader -> decode(reader, findings));
+  }
+
+  private static Optional<Vm> decode(final JsonReader reader, final FindingCollector findings) {
     final Optional<EndpointId> name = reader.value("name", EndpointId::new);
     final Optional<VmRole> role = reader.value("role", VmRole::valueOf);
     final Optional<ZoneName> zone = reader.value("zone", ZoneName::new);
