Gateways apply another text under the version in force

If the store is restored from an older copy, the operator may give out a version again, with another text. Gateways ignored it as not newer, and confirmed it: a key that it withdraws was served with 200 until the next version. Routers and sidecars apply it.

A text that differs under the same version is now activated; one that was replaced under that version is not activated again, so that a second restoration does not bring back what was withdrawn, and confirms nothing. The version still never goes back.

--- a/src/main/java/org/bulrushweir/catalog/ActivePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ActivePlan.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * Holds the routing plan in force. Its version only increases, however plans arrive. The plan
+ * Holds the routing plan in force. Its version never decreases, however plans arrive. The plan
  * counts as confirmed for a limited time after the store has reported that there is no newer one.
  */
 public final class ActivePlan {
@@ -48,6 +48,21 @@
     return true;
   }
 
+  /**
+   * Puts another plan in force that has the version of the present one: a store that was restored
+   * from an older copy gives out the same versions again.
+   *
+   * @param plan the plan
+   * @return true if it has the version of the present one and is now in force
+   */
+  public boolean adoptOfSameVersion(final RoutingPlan plan) {
+    if (current == null || plan.version() != current.version()) {
+      return false;
+    }
+    current = plan;
+    return true;
+  }
+
   /**
    * Records that the store has no newer plan than those read from it. Without effect after {@link
    * #recordRestoration} until the store holds a plan again that is not older than the present one.
--- a/src/main/java/org/bulrushweir/gateway/PlanListener.java
+++ b/src/main/java/org/bulrushweir/gateway/PlanListener.java
@@ -1,10 +1,16 @@
 package org.bulrushweir.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.catalog.ActivePlan;
+import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.platform.RoutingPlanDecoder;
 import org.bulrushweir.store.RowChange;
 
@@ -17,6 +23,12 @@
   private final ActivePlan activePlan;
   private final Clock clock;
 
+  /** The earlier texts under the active version; a store that is restored again may hold them. */
+  private final Set<HashCode> replacedTexts = new HashSet<>();
+
+  /** The text of the active plan. */
+  private HashCode activeText;
+
   /**
    * Creates the listener.
    *
@@ -44,22 +56,42 @@
 
   private void activate(final String text, final long rowVersion) {
     final FindingCollector findings = new FindingCollector();
-    decoder
-        .decode(text, findings)
-        .ifPresent(
-            plan -> {
-              final boolean adopted = activePlan.adoptIfNewer(plan);
-              activePlan.recordRead(plan.version(), clock.nowMs());
-              logger.atInfo().log(
-                  "configuration %d of row version %d with %d routes: %s",
-                  plan.version(),
-                  rowVersion,
-                  plan.routeCount(),
-                  adopted ? "activated" : "ignored, since it is not newer than the active one");
-            });
+    decoder.decode(text, findings).ifPresent(plan -> activate(plan, hash(text), rowVersion));
     findings.findings().forEach(finding -> logger.atWarning().log("%s", finding));
   }
 
+  private void activate(final RoutingPlan plan, final HashCode text, final long rowVersion) {
+    final String outcome;
+    if (activePlan.adoptIfNewer(plan)) {
+      outcome = "activated";
+      replacedTexts.clear();
+    } else if (replacedTexts.contains(text)) {
+      outcome = "ignored, since another text of this version has replaced it";
+    } else if (!text.equals(activeText) && activePlan.adoptOfSameVersion(plan)) {
+      outcome = "activated in place of another text of this version";
+      replacedTexts.add(activeText);
+    } else {
+      outcome = "ignored, since it is not newer than the active one";
+    }
+    if (isActive(plan)) {
+      activeText = text;
+    }
+    if (!replacedTexts.contains(text)) {
+      activePlan.recordRead(plan.version(), clock.nowMs());
+    }
+    logger.atInfo().log(
+        "configuration %d of row version %d with %d routes: %s",
+        plan.version(), rowVersion, plan.routeCount(), outcome);
+  }
+
+  private boolean isActive(final RoutingPlan plan) {
+    return activePlan.current().filter(current -> current == plan).isPresent();
+  }
+
+  private static HashCode hash(final String text) {
+    return Hashing.sha256().hashString(text, StandardCharsets.UTF_8);
+  }
+
   @Override
   public void onUpToDate() {
     activePlan.recordConfirmation(clock.nowMs());
--- a/src/test/java/org/bulrushweir/gateway/RestoredStoreTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RestoredStoreTest.java
@@ -95,6 +95,19 @@
     assertEquals(401, status(DemoCall.booking("b1")));
   }
 
+  /** Guards against a number that the restored store gives out again without any effect. */
+  @Test
+  void otherConfigurationUnderTheNumberInForceIsApplied() throws InterruptedException {
+    final PlatformCopy copy = fleet.platform().copy();
+    configure(2, KEY);
+    Thread.sleep(IN_FORCE_MS);
+    restore(copy);
+    Thread.sleep(IN_FORCE_MS);
+    configure(2, "another-key");
+    Thread.sleep(IN_FORCE_MS);
+    assertEquals(401, status(DemoCall.booking("b1")));
+  }
+
   @Test
   void withdrawnKeyOfTheOlderConfigurationStaysWithdrawn() throws InterruptedException {
     final PlatformCopy copy = fleet.platform().copy();
