A full quarantine says which segments it has no room for

With 64 segments in quarantine a further one under which engines crash is not taken in until a place is free. Callers would see engine after engine end, and nothing in the log said that the segment was found.

PromptQuarantine.withoutRoom tells the segments; the gateway logs them, every 10 s at most. PromptQuarantineTest.segmentForWhichThereIsNoRoomIsTold covers the decision (the method is new, so there is no run before); the line itself has no test.

--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -49,6 +49,9 @@
   /** The interval at which a draining process checks whether it is done, in milliseconds. */
   private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
+  /** The shortest time between two log lines on a full quarantine, in seconds. */
+  private static final int FULL_LOG_INTERVAL_S = 10;
+
   private final GatewaySettings settings;
   private final Clock clock;
   private final CallersSocketService socket;
@@ -257,6 +260,12 @@
           "engines crash under prompt segment %s; requests with it are refused",
           Long.toHexString(segment));
     }
+    if (!quarantine.withoutRoom().isEmpty()) {
+      logger.atWarning().atMostEvery(FULL_LOG_INTERVAL_S, TimeUnit.SECONDS).log(
+          "engines crash under prompt segments %s, but the quarantine of %d segments has no room;"
+              + " requests with them are served",
+          quarantine.withoutRoom().stream().map(Long::toHexString).toList(), quarantine.size());
+    }
     if (quarantine.size() > 0) {
       core.cancelQuarantined();
     }
--- a/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import org.bulrushweir.balancing.PromptSegment;
 
 /**
@@ -74,6 +76,7 @@
   private final Map<EndpointRun, Crash> crashes = boundedMap(MAX_CRASHES, false);
   private final Map<Long, Long> answeredAtMs = boundedMap(MAX_ANSWERED, true);
   private final QuarantinedSegments quarantined = new QuarantinedSegments();
+  private final Set<Long> withoutRoom = new TreeSet<>();
 
   private static <K, V> Map<K, V> boundedMap(final int capacity, final boolean accessOrder) {
     return new LinkedHashMap<>(16, 0.75f, accessOrder) {
@@ -158,6 +161,7 @@
     crashes.values().removeIf(crash -> nowMs - crash.seenAtMs > EVIDENCE_MS);
     crashes.values().forEach(crash -> renewQuarantine(crash, nowMs));
     quarantined.removeLapsed(nowMs);
+    withoutRoom.clear();
     final List<Long> added = new ArrayList<>();
     List<Long> found = quarantineMostSuspect(nowMs);
     // Each round adds a segment, and no later round displaces it: the capacity bounds the rounds.
@@ -168,6 +172,15 @@
     return added;
   }
 
+  /**
+   * Returns the segments that the last update would have quarantined if the quarantine had room.
+   *
+   * @return the ids of the segments
+   */
+  public Set<Long> withoutRoom() {
+    return Collections.unmodifiableSet(withoutRoom);
+  }
+
   /** Records a crash with the segments in quarantine that are its suspects. */
   private void renewQuarantine(final Crash crash, final long nowMs) {
     crash.suspects.stream()
@@ -185,10 +198,18 @@
     return mostSuspect(nowMs).stream()
         .sorted()
         .limit(MAX_TIED)
-        .filter(segment -> quarantined.add(segment, lastCrashMs(segment), nowMs))
+        .filter(segment -> quarantine(segment, nowMs))
         .toList();
   }
 
+  private boolean quarantine(final long segment, final long nowMs) {
+    final boolean added = quarantined.add(segment, lastCrashMs(segment), nowMs);
+    if (!added) {
+      withoutRoom.add(segment);
+    }
+    return added;
+  }
+
   private long lastCrashMs(final long segment) {
     return crashes.values().stream()
         .filter(crash -> crash.suspects.contains(segment))
--- a/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/org/bulrushweir/quarantine/PromptQuarantineTest.java
@@ -130,6 +130,22 @@
     assertTrue(quarantine.size() <= MAX_QUARANTINED);
   }
 
+  /** Guards against a full quarantine that lets engines crash without a word. */
+  @Test
+  void segmentForWhichThereIsNoRoomIsTold() {
+    final List<SegmentAge> reported =
+        LongStream.of(longHistory(10_000)).mapToObj(segment -> new SegmentAge(segment, 0)).toList();
+    quarantine.applyReport(new QuarantineReport(List.of(), List.of(), reported), 0);
+    for (int number = 1; number <= 3; number++) {
+      crash(1_000L * number, number, CRASHING);
+    }
+    assertEquals(List.of(), quarantine.update(4_000));
+    assertEquals(Set.of(CRASHING), quarantine.withoutRoom());
+    assertFalse(isQuarantined(CRASHING, 4_000));
+    assertEquals(List.of(CRASHING), quarantine.update(61_000));
+    assertEquals(Set.of(), quarantine.withoutRoom());
+  }
+
   @Test
   void answerClearsSegmentOfSoundRequests() {
     for (int second = 1; second <= 20; second++) {
