The log says when reading from a caller pauses

The caller sees its next requests wait, and nothing in the log said why.

The first pause of each connection is logged, so that the number of lines is bounded by that of connections. CallerHandlerTest.firstPauseOfConnectionIsLogged failed before: no line.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -34,6 +35,8 @@
  */
 final class CallerHandler extends ChannelInboundHandlerAdapter implements CallerConnection {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final double MS_PER_SECOND = 1_000;
 
   /** The time within which a caller that opens a connection sends its request, in milliseconds. */
@@ -48,6 +51,7 @@
   private HttpRequest request;
   private ByteBuf body;
   private Exchange exchange;
+  private boolean pauseLogged;
   private boolean requestSeen;
   private long openedMs;
   private long lastActivityMs;
@@ -98,10 +102,22 @@
     }
     final boolean reads = context.channel().config().isAutoRead();
     if (reads && pipeline.isFull() || !reads && !pipeline.hasWaiting()) {
+      if (reads) {
+        logFirstPause();
+      }
       context.channel().config().setAutoRead(!reads);
     }
   }
 
+  private void logFirstPause() {
+    if (!pauseLogged) {
+      pauseLogged = true;
+      logger.atInfo().log(
+          "reading from caller %s pauses while its queue is full; further pauses are not logged",
+          context.channel().remoteAddress());
+    }
+  }
+
   private void handleMessage(final HttpObject message, final long receivedMs) {
     lastActivityMs = core.nowMs();
     if (message.decoderResult().isFailure()) {
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -31,6 +31,7 @@
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.platform.EndpointSide;
 import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.testing.RecordedLog;
 import org.junit.jupiter.api.Test;
 
 /** Tests when the connection of a caller is closed. */
@@ -163,6 +164,23 @@
     assertFalse(channel.isOpen());
   }
 
+  /** Guards against a caller whose queue is full without a word in the log. */
+  @Test
+  void firstPauseOfConnectionIsLogged() {
+    try (RecordedLog log = new RecordedLog(CallerHandler.class)) {
+      final EmbeddedChannel channel = connection(startingCore());
+      for (int number = 0; number < 10; number++) {
+        channel.writeInbound(properRequest(), properRequest());
+      }
+      assertFalse(channel.config().isAutoRead());
+      assertEquals(
+          List.of(
+              "reading from caller embedded pauses while its queue is full; further pauses are not"
+                  + " logged"),
+          log.messages());
+    }
+  }
+
   private static ByteBuf bytes(final String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
   }
