No last chunk follows the head of a response to HEAD

Cause: CallerHandler sends any response without a length in chunks unless its status is 204 or 304; the encoder knows the request's method as little as the handler did.

The handler remembers that it answers a HEAD request and sets no transfer encoding, so the encoder writes nothing behind the head.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -52,6 +53,7 @@
   private ByteBuf body;
   private Exchange exchange;
   private boolean pauseLogged;
+  private boolean answersHead;
   private boolean requestSeen;
   private long openedMs;
   private long lastActivityMs;
@@ -182,6 +184,7 @@
     final ByteBuf servedBody = body;
     request = null;
     body = null;
+    answersHead = HttpMethod.HEAD.equals(served.method());
     pipeline.startServing(HttpUtil.isKeepAlive(served));
     core.serve(this, served, servedBody, requestReceivedMs);
   }
@@ -211,8 +214,10 @@
   @Override
   public void startResponse(final HttpResponseStatus status, final HttpHeaders headers) {
     final boolean hasLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+    // Not even a last chunk may follow: the caller would take it for the next response.
     final boolean bodyless =
-        status.code() == HttpResponseStatus.NO_CONTENT.code()
+        answersHead
+            || status.code() == HttpResponseStatus.NO_CONTENT.code()
             || status.code() == HttpResponseStatus.NOT_MODIFIED.code();
     if (!hasLength && !bodyless) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
