Responses whose length or status is ambiguous are rejected

Callers got short bodies, or chunk lines inside bodies, framed as whole: where a header line started with white space, a Content-Length on it was joined to the header before it; where Transfer-Encoding was anything but chunked, the end of the connection ended the body. A compressed transfer was passed on as the body, and statuses such as 20, 2000 or +200 were passed on.

Cause: the codec is lenient there; it rejects other ambiguous heads by itself.

FoldedLineScanner sees the bytes of each head and ResponseSyntax decides on status lines and transfer encodings; a response that fails either is handed on as invalid, which ends the attempt as a broken one.

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -162,6 +162,10 @@
   private void handleMessage(final HttpObject message) {
     if (message.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
+      report(
+          EndpointResponseDecoder.isJoined(message.decoderResult())
+              ? UnexpectedBytes.JOINED_HEAD
+              : UnexpectedBytes.INVALID);
       fail("the endpoint sent an invalid HTTP response");
       return;
     }
@@ -180,12 +184,10 @@
   }
 
   private void handleHead(final HttpResponse response) {
-    final boolean joined = EndpointResponseDecoder.isJoined(response);
     final ResponseMatch match =
-        !joined && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL
             ? ResponseMatch.FOREIGN
-            : ResponseMatch.of(
-                joined, ResponseTranslator.namedRequests(response), requestId, reused);
+            : ResponseMatch.of(ResponseTranslator.namedRequests(response), requestId, reused);
     final ResponseFraming framing = decoder.framing(response);
     skipping = match == ResponseMatch.FOREIGN;
     if (skipping) {
@@ -193,7 +195,7 @@
       return;
     }
     if (match == ResponseMatch.AMBIGUOUS) {
-      report(joined ? UnexpectedBytes.JOINED_HEAD : UnexpectedBytes.AMBIGUOUS);
+      report(UnexpectedBytes.AMBIGUOUS);
       fail("the response may belong to an earlier request");
       return;
     }
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -1,33 +1,44 @@
 package org.bulrushweir.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
-import java.util.Map;
-import java.util.Set;
+import java.util.List;
+import org.bulrushweir.relay.FoldedLineScanner;
 import org.bulrushweir.relay.ResponseBodyCheck;
 import org.bulrushweir.relay.ResponseFraming;
+import org.bulrushweir.relay.ResponseSyntax;
 import org.bulrushweir.relay.StatusLineScanner;
 
-/** Decodes endpoints' responses; a response to a HEAD request has no body. */
+/**
+ * Decodes endpoints' responses; a response to a HEAD request has no body. A response whose head
+ * readers may understand differently is invalid.
+ */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
 
   /** The limit for the status line and for the headers of a response, in bytes each. */
   private static final int MAX_HEADER_BYTES = 65_536;
 
+  private static final DecoderException AMBIGUOUS = new DecoderException("ambiguous head");
+  private static final DecoderException JOINED = new DecoderException("head of two responses");
+
   /** The largest piece of a body that is passed on, in bytes. */
   private static final int MAX_CHUNK_BYTES = 16_384;
 
-  private static final Set<String> VERSIONS =
-      Set.of(HttpVersion.HTTP_1_0.text(), HttpVersion.HTTP_1_1.text());
-
+  private final FoldedLineScanner lines = new FoldedLineScanner();
+  private final StatusLineScanner statusLine = new StatusLineScanner();
+  private int statusLines;
+  private boolean readingHead = true;
   private HttpMethod method = HttpMethod.GET;
 
   /** Creates a decoder. */
@@ -62,30 +73,15 @@
   }
 
   /**
-   * Returns whether a head consists of parts of two responses: of the start of one that broke off,
-   * followed by another one, whose status line is then found within the head.
+   * Returns whether the head of an invalid response consists of parts of two responses: of the
+   * start of one that broke off, followed by another one, whose status line is then inside the
+   * head.
    *
-   * @param response the head
-   * @return false for the head of a single response
+   * @param result the result of decoding the response
+   * @return false for a response that is invalid for another reason
    */
-  static boolean isJoined(final HttpResponse response) {
-    if (!VERSIONS.contains(response.protocolVersion().text())
-        || StatusLineScanner.contains(response.status().reasonPhrase())) {
-      return true;
-    }
-    final Iterator<Map.Entry<CharSequence, CharSequence>> headers =
-        response.headers().iteratorCharSequence();
-    while (headers.hasNext()) {
-      final Map.Entry<CharSequence, CharSequence> header = headers.next();
-      final StatusLineScanner scanner = new StatusLineScanner();
-      // A line without a colon is split at its first space.
-      if (scanner.acceptAll(header.getKey())
-          | scanner.accept((byte) ' ')
-          | scanner.acceptAll(header.getValue())) {
-        return true;
-      }
-    }
-    return false;
+  static boolean isJoined(final DecoderResult result) {
+    return result.cause() == JOINED;
   }
 
   /**
@@ -108,6 +104,54 @@
     return unread.toString(unread.readerIndex(), length, StandardCharsets.ISO_8859_1);
   }
 
+  @Override
+  protected HttpMessage createMessage(final String[] initialLine) {
+    if (!ResponseSyntax.isStatusLine(initialLine[0], initialLine[1])) {
+      throw new IllegalArgumentException("invalid status line");
+    }
+    return super.createMessage(initialLine);
+  }
+
+  @Override
+  protected void decode(
+      final ChannelHandlerContext context, final ByteBuf buffer, final List<Object> out)
+      throws Exception {
+    final int start = buffer.readerIndex();
+    final int decoded = out.size();
+    super.decode(context, buffer, out);
+    if (readingHead) {
+      // A call that completes a head consumes nothing behind it.
+      buffer.forEachByte(start, buffer.readerIndex() - start, this::scan);
+    }
+    out.subList(decoded, out.size()).forEach(this::check);
+  }
+
+  private boolean scan(final byte value) {
+    lines.accept(value);
+    if (statusLine.accept(value)) {
+      statusLines++;
+    }
+    return true;
+  }
+
+  private void check(final Object message) {
+    if (message instanceof HttpResponse response) {
+      readingHead = false;
+      if (statusLines > 1) {
+        response.setDecoderResult(DecoderResult.failure(JOINED));
+      } else if (lines.isFolded()
+          || !ResponseSyntax.isTransferEncodingKnown(
+              response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
+        response.setDecoderResult(DecoderResult.failure(AMBIGUOUS));
+      }
+    }
+    if (message instanceof LastHttpContent) {
+      readingHead = true;
+      lines.reset();
+      statusLines = 0;
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(final HttpMessage message) {
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/bulrushweir/relay/ResponseMatch.java
+++ b/src/main/java/org/bulrushweir/relay/ResponseMatch.java
@@ -23,20 +23,13 @@
   /**
    * Decides what a response is taken for.
    *
-   * @param joined whether the head consists of parts of two responses
    * @param named the different ids of requests that the response names
    * @param requestId the id of the waiting request
    * @param reused whether the connection has carried another request before
    * @return the decision
    */
   public static ResponseMatch of(
-      final boolean joined,
-      final List<String> named,
-      final String requestId,
-      final boolean reused) {
-    if (joined) {
-      return AMBIGUOUS;
-    }
+      final List<String> named, final String requestId, final boolean reused) {
     if (named.isEmpty()) {
       return reused ? AMBIGUOUS : OWN_UNNAMED;
     }
--- a/src/main/java/org/bulrushweir/relay/StatusLineScanner.java
+++ b/src/main/java/org/bulrushweir/relay/StatusLineScanner.java
@@ -18,30 +18,6 @@
   /** Creates a scanner that has matched nothing. */
   public StatusLineScanner() {}
 
-  /**
-   * Returns whether a text contains the status line of a response.
-   *
-   * @param text the text
-   * @return true if it contains one in full
-   */
-  public static boolean contains(final CharSequence text) {
-    return new StatusLineScanner().acceptAll(text);
-  }
-
-  /**
-   * Handles the next characters.
-   *
-   * @param text the characters, of which each stands for a byte
-   * @return true if one of them ends the status of a status line
-   */
-  public boolean acceptAll(final CharSequence text) {
-    boolean found = false;
-    for (int index = 0; index < text.length(); index++) {
-      found |= accept((byte) text.charAt(index));
-    }
-    return found;
-  }
-
   /**
    * Handles the next byte.
    *
--- a/src/main/java/org/bulrushweir/relay/UnexpectedBytes.java
+++ b/src/main/java/org/bulrushweir/relay/UnexpectedBytes.java
@@ -8,6 +8,8 @@
   OTHER_REQUEST,
   /** They were a response that may belong to another request. */
   AMBIGUOUS,
+  /** They were no response. */
+  INVALID,
   /** They were the start of a head that broke off and was followed by another one. */
   JOINED_HEAD,
   /** They were part of another response and stood in the body of the waiting request's one. */
--- a/src/test/java/org/bulrushweir/relay/ResponseMatchTest.java
+++ b/src/test/java/org/bulrushweir/relay/ResponseMatchTest.java
@@ -9,7 +9,7 @@
 class ResponseMatchTest {
 
   private static ResponseMatch match(final boolean reused, final String... named) {
-    return ResponseMatch.of(false, List.of(named), "own", reused);
+    return ResponseMatch.of(List.of(named), "own", reused);
   }
 
   @Test
@@ -30,12 +30,6 @@
     assertEquals(ResponseMatch.AMBIGUOUS, match(true));
   }
 
-  @Test
-  void headThatHoldsPartsOfTwoResponsesIsAmbiguous() {
-    assertEquals(ResponseMatch.AMBIGUOUS, ResponseMatch.of(true, List.of("own"), "own", false));
-    assertEquals(ResponseMatch.AMBIGUOUS, ResponseMatch.of(true, List.of("other"), "own", true));
-  }
-
   @Test
   void responseThatNamesSeveralRequestsIsAmbiguous() {
     assertEquals(ResponseMatch.AMBIGUOUS, match(false, "own", "other"));
--- a/src/test/java/org/bulrushweir/relay/StatusLineScannerTest.java
+++ b/src/test/java/org/bulrushweir/relay/StatusLineScannerTest.java
@@ -12,6 +12,17 @@
 /** Tests where status lines are found. */
 class StatusLineScannerTest {
 
+  private static int count(final String text) {
+    final StatusLineScanner scanner = new StatusLineScanner();
+    int found = 0;
+    for (final byte value : text.getBytes(StandardCharsets.US_ASCII)) {
+      if (scanner.accept(value)) {
+        found++;
+      }
+    }
+    return found;
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
@@ -24,7 +35,7 @@
         "HTTP/1.1 20HTTP/1.1 200 OK"
       })
   void statusLinesAreFound(final String text) {
-    assertTrue(StatusLineScanner.contains(text));
+    assertTrue(count(text) > 0);
   }
 
   @ParameterizedTest
@@ -40,18 +51,11 @@
         "1.1 proxy"
       })
   void otherTextIsNoStatusLine(final String text) {
-    assertFalse(StatusLineScanner.contains(text));
+    assertFalse(count(text) > 0);
   }
 
   @Test
   void eachStatusLineIsReportedOnce() {
-    final StatusLineScanner scanner = new StatusLineScanner();
-    int found = 0;
-    for (final byte value : "HTTP/1.1 200 OK HTTP/1.1 500".getBytes(StandardCharsets.US_ASCII)) {
-      if (scanner.accept(value)) {
-        found++;
-      }
-    }
-    assertEquals(2, found);
+    assertEquals(2, count("HTTP/1.1 200 OK HTTP/1.1 500"));
   }
 }
