The embedded gateway of tests has the pipeline of connections to endpoints

It lacked the handler that keeps bytes of idle connections from the decoder, and the listener of unexpected bytes, which came in between.

--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -47,7 +47,8 @@
 
   private final AtomicLong now = new AtomicLong(START_MS);
   private final EmbeddedChannel timers = new EmbeddedChannel();
-  private final ConnectionPool pool = new ConnectionPool(timers.eventLoop(), now::get);
+  private final ConnectionPool pool =
+      new ConnectionPool(timers.eventLoop(), now::get, (endpoint, request, kind) -> {});
   private final EndpointDirectory directory = new EndpointDirectory();
   private final List<EmbeddedChannel> endpoints = new ArrayList<>();
   private final StringBuilder received = new StringBuilder();
@@ -106,7 +107,8 @@
     final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
     final EndpointConnection connection = new EndpointConnection(endpoint, decoder, pool);
     final EmbeddedChannel channel =
-        new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
+        new EmbeddedChannel(
+            new IdleBytesHandler(connection), new HttpRequestEncoder(), decoder, connection);
     endpoints.add(channel);
     if (!reused) {
       pool.release(connection);
