A status line inside a body breaks the answer off in more cases

Cause: a repetition inside a body was recognised by a status line and the name of a header after it. One that broke off before that name, between two events, passed as part of an event. In a body with a length it was found by the bytes behind the body only, which are not there yet if the read ends with the body.

Now a line of an event stream that starts like a status line ("HTT") ends the attempt, and so does a body with a length that holds a status line on a connection that was used before. Lines of events start with the name of a field, so that events about HTTP still pass. A body with a length that tells of a status line is now rejected on reused connections, as it was without a length.

--- a/src/main/java/org/bulrushweir/relay/JoinedResponseScanner.java
+++ b/src/main/java/org/bulrushweir/relay/JoinedResponseScanner.java
@@ -7,8 +7,9 @@
  * Finds the head of another response inside a body: a status line that is followed by a header. An
  * endpoint that writes an earlier response once more may write it between two parts of a body.
  *
- * <p>A text about HTTP may hold a status line as well; in an event stream the next line is then a
- * field of an event.
+ * <p>A text about HTTP may hold a status line as well. In an event stream it then stands behind the
+ * name of a field, and the next line is a field too, so that a line that starts like a status line
+ * is part of another response, however soon that breaks off.
  */
 public final class JoinedResponseScanner {
 
@@ -22,6 +23,8 @@
 
   private final StatusLineScanner statusLine = new StatusLineScanner();
   private final StringBuilder name = new StringBuilder();
+  private final boolean eventStream;
+  private int lineBytes;
   private Position position = Position.BODY;
   private int headBytes;
   private boolean statusLineFound;
@@ -37,8 +40,14 @@
     HEADER_NAME
   }
 
-  /** Creates a scanner at the start of a body. */
-  public JoinedResponseScanner() {}
+  /**
+   * Creates a scanner at the start of a body.
+   *
+   * @param eventStream whether the body is a stream of events
+   */
+  public JoinedResponseScanner(final boolean eventStream) {
+    this.eventStream = eventStream;
+  }
 
   /**
    * Handles the next byte of the body.
@@ -46,7 +55,10 @@
    * @param value the byte
    */
   public void accept(final byte value) {
-    if (statusLine.accept(value)) {
+    final boolean statusLineEnds = statusLine.accept(value);
+    lineBytes = value == '\n' ? 0 : lineBytes + 1;
+    joined |= eventStream && lineBytes == MIN_START_BYTES && statusLine.matched() == lineBytes;
+    if (statusLineEnds) {
       statusLineFound = true;
       position = Position.STATUS_LINE;
       headBytes = 0;
--- a/src/main/java/org/bulrushweir/relay/ResponseBodyCheck.java
+++ b/src/main/java/org/bulrushweir/relay/ResponseBodyCheck.java
@@ -11,7 +11,7 @@
   /** What each response starts with. */
   public static final String RESPONSE_START = "HTTP/";
 
-  private final JoinedResponseScanner scanner = new JoinedResponseScanner();
+  private final JoinedResponseScanner scanner;
   private final ResponseFraming framing;
   private final boolean eventStream;
   private final boolean reused;
@@ -25,6 +25,7 @@
    */
   public ResponseBodyCheck(
       final ResponseFraming framing, final boolean eventStream, final boolean reused) {
+    this.scanner = new JoinedResponseScanner(eventStream);
     this.framing = framing;
     this.eventStream = eventStream;
     this.reused = reused;
@@ -49,8 +50,7 @@
    * @return what is wrong, empty if the body is sound
    */
   public Optional<String> findFault(final String following) {
-    if (framing == ResponseFraming.CONNECTION && !eventStream && scanner.hasStatusLine()) {
-      // Part of a copy of the response may have been written behind it.
+    if (mayHoldMore() && !eventStream && scanner.hasStatusLine()) {
       return Optional.of("the body holds the status line of a response");
     }
     if (framing == ResponseFraming.LENGTH && reused && !mayStartResponse(following)) {
@@ -60,6 +60,13 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether the framing stays valid with bytes of another response in or behind the body.
+   */
+  private boolean mayHoldMore() {
+    return framing == ResponseFraming.CONNECTION || framing == ResponseFraming.LENGTH && reused;
+  }
+
   private static boolean mayStartResponse(final String following) {
     return following.startsWith(RESPONSE_START) || RESPONSE_START.startsWith(following);
   }
--- a/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -27,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests what a connection takes for the response to a request after its endpoint has written the
@@ -47,6 +49,15 @@
           false,
           0);
 
+  private static final EndpointAnswer FIRST_ANSWER =
+      new EndpointAnswer("200 OK", EndpointAnswer.Framing.LENGTH, false, false, false);
+  private static final List<EndpointAnswer.Framing> UNCHECKED_FRAMINGS =
+      List.of(EndpointAnswer.Framing.LENGTH, EndpointAnswer.Framing.CONNECTION);
+  private static final String EVENT_END = "\n\n";
+
+  /** Fewer bytes of a repetition can't be told from a body. */
+  private static final int MIN_CUT_BYTES = 3;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ConnectionPool pool =
@@ -206,6 +217,78 @@
     assertTrue(own > 0, "responses after none or a whole repetition");
   }
 
+  /** Returns what a caller takes from the part of a stream that it got. */
+  private static String completeEvents(final String part) {
+    final int end = part.lastIndexOf(EVENT_END);
+    return end < 0 ? "" : part.substring(0, end + EVENT_END.length());
+  }
+
+  /** Returns the response to the second request, with a repetition inside its body. */
+  private Recorder exchangeWithRepetitionInside(
+      final EndpointAnswer second, final int bodyOffset, final int cutAt, final boolean bytewise) {
+    final Connection connection = new Connection();
+    final byte[] firstBytes = FIRST_ANSWER.bytes(FIRST);
+    connection.send(FIRST);
+    connection.read(firstBytes);
+    final Recorder recorder = connection.send(SECOND);
+    final byte[] bytes = second.bytes(SECOND);
+    final int splitAt = bytes.length - second.body(SECOND).length() + bodyOffset;
+    final byte[] joined =
+        join(
+            join(Arrays.copyOf(bytes, splitAt), Arrays.copyOf(firstBytes, cutAt)),
+            Arrays.copyOfRange(bytes, splitAt, bytes.length));
+    if (bytewise) {
+      for (final byte value : joined) {
+        connection.read(new byte[] {value});
+      }
+    } else {
+      connection.read(joined);
+    }
+    connection.channel.close();
+    return recorder;
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void repetitionBetweenEventsIsNoEvent(final boolean bytewise) {
+    for (final EndpointAnswer.Framing framing : UNCHECKED_FRAMINGS) {
+      final EndpointAnswer second = new EndpointAnswer("200 OK", framing, false, true, false);
+      final String body = second.body(SECOND);
+      for (int offset = 0; offset >= 0; offset = nextEvent(body, offset)) {
+        for (int cutAt = MIN_CUT_BYTES; cutAt <= FIRST_ANSWER.bytes(FIRST).length; cutAt++) {
+          final Recorder recorder = exchangeWithRepetitionInside(second, offset, cutAt, bytewise);
+          final String detail = framing + ", after " + offset + " bytes, cut off at " + cutAt;
+          assertFalse(recorder.ended, detail);
+          assertTrue(body.startsWith(completeEvents(recorder.body.toString())), detail);
+        }
+      }
+    }
+  }
+
+  /** Returns where the next event of a body starts, negative after the last one. */
+  private static int nextEvent(final String body, final int offset) {
+    final int start = body.indexOf(EVENT_END, offset) + EVENT_END.length();
+    return start < body.length() ? start : -1;
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void statusLineInsideBodyThatWasReadInPiecesIsRepetition(final boolean bytewise) {
+    for (final EndpointAnswer.Framing framing : UNCHECKED_FRAMINGS) {
+      final EndpointAnswer second = new EndpointAnswer("200 OK", framing, false, false, false);
+      final int length = second.body(SECOND).length();
+      for (int offset = 0; offset <= length - MIN_CUT_BYTES; offset++) {
+        for (int cutAt = "HTTP/1.1 200".length();
+            cutAt <= FIRST_ANSWER.bytes(FIRST).length;
+            cutAt++) {
+          assertFalse(
+              exchangeWithRepetitionInside(second, offset, cutAt, bytewise).ended,
+              framing + ", after " + offset + " bytes, cut off at " + cutAt);
+        }
+      }
+    }
+  }
+
   @Test
   void connectionIsNotReusedAfterRepetition() {
     final EndpointAnswer answer =
--- a/src/test/java/org/bulrushweir/relay/JoinedResponseScannerTest.java
+++ b/src/test/java/org/bulrushweir/relay/JoinedResponseScannerTest.java
@@ -12,7 +12,11 @@
 class JoinedResponseScannerTest {
 
   private static JoinedResponseScanner scan(final String body) {
-    final JoinedResponseScanner scanner = new JoinedResponseScanner();
+    return scan(body, false);
+  }
+
+  private static JoinedResponseScanner scan(final String body, final boolean eventStream) {
+    final JoinedResponseScanner scanner = new JoinedResponseScanner(eventStream);
     for (final byte value : body.getBytes(StandardCharsets.ISO_8859_1)) {
       scanner.accept(value);
     }
@@ -46,6 +50,31 @@
     assertFalse(scan(body).isJoined());
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTid: 0\ndata: a\n\n",
+        "id: 0\ndata: a\n\nHTTP/1.1 20id: 1\ndata: b\n\n",
+        "id: 0\r\nHTTP/1.1 200 OK\r\ndata: a\r\n\r\n",
+      })
+  void lineOfEventStreamThatStartsLikeStatusLineIsPartOfAnotherResponse(final String body) {
+    assertTrue(scan(body, true).isJoined());
+    assertFalse(scan(body, false).isJoined());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "data: HTTP/1.1 404 Not Found\ndata: is what you got\n\n",
+        "data: HTTP/1.1 404 Not Found\r\nid: 7\r\n\r\n",
+        ":HTTP/1.1 200 OK\n\n",
+        "HT: a field\nhttp: another one\n\n"
+      })
+  void fieldsOfEventsMayTellOfStatusLines(final String body) {
+    assertFalse(scan(body, true).isJoined());
+  }
+
   @Test
   void statusLineAndItsStartAtTheEndAreFound() {
     assertTrue(scan("HTTP/1.1 200 OK").hasStatusLine());
--- a/src/test/java/org/bulrushweir/relay/ResponseBodyCheckTest.java
+++ b/src/test/java/org/bulrushweir/relay/ResponseBodyCheckTest.java
@@ -66,6 +66,13 @@
     assertTrue(isSound(ResponseFraming.CONNECTION, false, false, "booked", ""));
   }
 
+  @Test
+  void statusLineInBodyWithLengthIsRepetitionOnReusedConnectionOnly() {
+    assertFalse(isSound(ResponseFraming.LENGTH, false, true, "bookHTTP/1.1 200ed", ""));
+    assertTrue(isSound(ResponseFraming.LENGTH, false, false, "saw HTTP/1.1 200 too", ""));
+    assertTrue(isSound(ResponseFraming.CHUNKED, false, true, "saw HTTP/1.1 200 too", ""));
+  }
+
   @Test
   void eventsThatEndWithTheirConnectionMayTellOfStatusLines() {
     assertTrue(
