A signature with the start of a status line proves nothing

Cause: a repetition that is written inside the next head and breaks off before its status leaves the head valid. It was recognised by a whole status line only.

Only signatures are checked for "HTTP/": other headers may name a protocol, and a wrong one breaks no promise. Up to four bytes inside a signature can't be told from it.

--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.FoldedLineScanner;
 import org.bulrushweir.relay.ResponseBodyCheck;
 import org.bulrushweir.relay.ResponseFraming;
@@ -75,7 +76,7 @@
   /**
    * Returns whether the head of an invalid response consists of parts of two responses: of the
    * start of one that broke off, followed by another one, whose status line is then inside the
-   * head.
+   * head. In a signature the start of a status line suffices; other headers may name a protocol.
    *
    * @param result the result of decoding the response
    * @return false for a response that is invalid for another reason
@@ -137,7 +138,8 @@
   private void check(final Object message) {
     if (message instanceof HttpResponse response) {
       readingHead = false;
-      if (statusLines > 1) {
+      if (statusLines > 1
+          || ResponseTranslator.signature(response).contains(ResponseBodyCheck.RESPONSE_START)) {
         response.setDecoderResult(DecoderResult.failure(JOINED));
       } else if (lines.isFolded()
           || !ResponseSyntax.isTransferEncodingKnown(
--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -29,6 +29,16 @@
     return response.headers().getAll(HeaderNames.REQUEST_ID).stream().distinct().toList();
   }
 
+  /**
+   * Reads the signature of an answer.
+   *
+   * @param response the answer
+   * @return the signature, empty if there is none
+   */
+  public static String signature(final HttpResponse response) {
+    return response.headers().get(HeaderNames.ANSWER_SEAL, "");
+  }
+
   /**
    * Reads the head of an answer.
    *
