A long event that arrives byte by byte does not stop the event loop

An engine that sent one event of a resumable stream without end, a byte in each chunk, kept the gateway's event loop busy for seconds: every part allocated and moved a copy of the whole incomplete event, so the cost grew with the square of its length. Requests of all callers waited meanwhile.

EventStreamFramer now copies only what completes an event. Its new test timed out after 1,000 ms before and passes now; the case EVENT_IN_TINY_CHUNKS of EndlessBytesTest, which follows with the other kinds of endless bytes, found the connection still open after 2.5 s before.

--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -42,8 +43,7 @@
     System.arraycopy(bytes, 0, buffer, length, bytes.length);
     final int scanStart = length;
     length += bytes.length;
-    final byte[] complete = new byte[length];
-    int completeLength = 0;
+    final ByteArrayOutputStream complete = new ByteArrayOutputStream(0);
     int start = 0;
     for (int index = scanStart; index < length; index++) {
       if (!scanner.accept(buffer[index])) {
@@ -51,14 +51,16 @@
       }
       final int end = index + 1;
       if (isNew(start, end)) {
-        System.arraycopy(buffer, start, complete, completeLength, end - start);
-        completeLength += end - start;
+        complete.write(buffer, start, end - start);
       }
       start = end;
     }
-    System.arraycopy(buffer, start, buffer, 0, length - start);
-    length -= start;
-    return Arrays.copyOf(complete, completeLength);
+    if (start > 0) {
+      // Nothing is copied for a part that completes no event: events may arrive byte by byte.
+      System.arraycopy(buffer, start, buffer, 0, length - start);
+      length -= start;
+    }
+    return complete.toByteArray();
   }
 
   private void ensureCapacity(final int additional) {
--- a/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
+++ b/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
@@ -2,9 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -33,6 +35,20 @@
     assertEquals(1, framer.lastEventId());
   }
 
+  /** Guards against a process that stands still while a long event arrives byte by byte. */
+  @Test
+  void longEventThatArrivesByteByByteIsCheap() {
+    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final byte[] part = {'a'};
+    assertTimeoutPreemptively(
+        Duration.ofSeconds(1),
+        () -> {
+          while (!framer.isEventTooLong()) {
+            assertEquals(0, framer.feed(part).length);
+          }
+        });
+  }
+
   @Test
   void resumedStreamStartsWithTheInterruptedEvent() {
     final EventStreamFramer framer = new EventStreamFramer(-1);
