Empty lines without end close an endpoint's connection

A faulty endpoint that sent empty lines without end, before a response or on an idle connection, was read at full speed until the route's time limit, or for as long as it went on: the decoder limits each line, but skips any number of empty ones. Requests of other callers waited for the event loop meanwhile.

UndecodedBytesLimit counts the bytes from which no message was made and fails the connection at the size of the longest head.

--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -142,12 +142,15 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(final Channel channel) {
+                    final UndecodedBytesLimit limit = new UndecodedBytesLimit();
                     channel
                         .pipeline()
                         .addLast(
                             new IdleBytesHandler(connection),
-                            new HttpRequestEncoder(),
+                            limit.beforeDecoder(),
                             decoder,
+                            limit.afterDecoder(),
+                            new HttpRequestEncoder(),
                             connection);
                   }
                 })
--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -28,7 +28,7 @@
 final class EndpointResponseDecoder extends HttpResponseDecoder {
 
   /** The limit for the status line and for the headers of a response, in bytes each. */
-  private static final int MAX_HEADER_BYTES = 65_536;
+  static final int MAX_HEADER_BYTES = 65_536;
 
   private static final DecoderException AMBIGUOUS = new DecoderException("ambiguous head");
   private static final DecoderException JOINED = new DecoderException("head of two responses");
--- a/src/test/java/org/bulrushweir/gateway/RawServer.java
+++ b/src/test/java/org/bulrushweir/gateway/RawServer.java
@@ -31,7 +31,17 @@
    * @param handler serves each of them on a thread of its own
    */
   RawServer(final Handler handler) throws IOException {
-    this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    this(InetAddress.getLoopbackAddress(), handler);
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @param address the loopback address to listen on
+   * @param handler serves each of them on a thread of its own
+   */
+  RawServer(final InetAddress address, final Handler handler) throws IOException {
+    this.socket = new ServerSocket(0, BACKLOG, address);
     Thread.ofVirtual().start(() -> acceptConnections(handler));
   }
 
@@ -39,6 +49,10 @@
     return socket.getLocalPort();
   }
 
+  boolean isClosed() {
+    return socket.isClosed();
+  }
+
   private void acceptConnections(final Handler handler) {
     while (!socket.isClosed()) {
       try {
