Parts of skipped responses count beside their bytes

A response to another request that came in chunks of one byte was skipped up to a million parts, since only the bytes of its body counted. Each part now counts 64 bytes more, so that the limit is reached after about 16,000 parts.

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -46,6 +46,9 @@
   /** The number of bytes of bodies that are skipped while one request waits. */
   private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
+  /** What a part of a skipped body counts beside its bytes, as a part may have a single one. */
+  private static final long SKIPPED_PART_BYTES = 64;
+
   private final EndpointResponseDecoder decoder;
   private final EndpointRecord endpoint;
   private final ConnectionPool pool;
@@ -272,7 +275,7 @@
 
   /** Skips part of a response to another request, unless the start of the next one is in it. */
   private void handleSkipped(final HttpContent content) {
-    skippedBytes += content.content().readableBytes();
+    skippedBytes += SKIPPED_PART_BYTES + content.content().readableBytes();
     final boolean joined = content.content().forEachByte(value -> !skippedBody.accept(value)) >= 0;
     content.release();
     if (joined) {
