Lists of cached prompt segments are bounded over all engines

After a restart, the gateway asked up to 64 engines at a time and kept up to 4 MB of each list; the line of a chunk's length had no limit at all, and reading one without end took more than 2 s although a call may take 0.5 s (EngineCacheClientTest, CHUNK_SIZE, failed before).

Eight engines are asked at a time, a list has at most 512 KB, and a connection fails after 1 MB whatever it carries. Eight kinds of answers without end are given up within 2 s now.

--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.Dispatcher;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -27,7 +28,13 @@
   private static final int HEX_RADIX = 16;
 
   /** The longest list that is read, in bytes; 2,000 parts take about 100,000. */
-  private static final long MAX_LIST_BYTES = 4L << 20;
+  private static final long MAX_LIST_BYTES = 512L << 10;
+
+  /** The number of bytes of a whole answer, its head and the framing of its body included. */
+  private static final long MAX_ANSWER_BYTES = 2 * MAX_LIST_BYTES;
+
+  /** The number of calls at a time; each holds up to a whole answer in memory. */
+  private static final int MAX_CALLS = 8;
 
   private final OkHttpClient client;
 
@@ -38,7 +45,15 @@
    * @param timeoutMs how long a call may take, in milliseconds
    */
   public EngineCacheClient(final OkHttpClient client, final long timeoutMs) {
-    this.client = SingleUseConnections.of(client).callTimeout(Duration.ofMillis(timeoutMs)).build();
+    final Dispatcher dispatcher = new Dispatcher(client.dispatcher().executorService());
+    dispatcher.setMaxRequests(MAX_CALLS);
+    // The bound of a socket is that of an answer, as no connection is used again.
+    this.client =
+        SingleUseConnections.of(client)
+            .dispatcher(dispatcher)
+            .socketFactory(new BoundedSocketFactory(MAX_ANSWER_BYTES))
+            .callTimeout(Duration.ofMillis(timeoutMs))
+            .build();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
+++ b/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
@@ -1,27 +1,36 @@
 package org.bulrushweir.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import java.net.InetAddress;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.gateway.EndlessCacheList;
 import org.bulrushweir.testing.RawAnswer;
 import org.bulrushweir.testing.Repetition;
 import org.bulrushweir.testing.StutteringServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests the reading of what engines hold. */
 class EngineCacheClientTest {
 
   private static final long LIST_TIMEOUT_MS = 10_000;
+  private static final long TIMEOUT_MS = 500;
+  private static final long MAX_MS = 2_000;
 
   private static EndpointRecord engine(final int port) {
     return new EndpointRecord(
@@ -77,4 +86,22 @@
         List.of(new PromptSegment(0x5c1e07a2L, 800), new PromptSegment(-1, 16)),
         new EngineCacheClient(new OkHttpClient(), 100).parse(answer));
   }
+
+  /** Guards against an engine that fills the memory with a list, or a head, without end. */
+  @ParameterizedTest
+  @EnumSource
+  void listWithoutEndIsGivenUp(final EndlessCacheList.Kind kind) throws Exception {
+    final InetAddress address = InetAddress.getLoopbackAddress();
+    try (EndlessCacheList endless = new EndlessCacheList(address, kind)) {
+      final Future<List<PromptSegment>> list =
+          new EngineCacheClient(new OkHttpClient(), TIMEOUT_MS).held(engine(endless.port()));
+      assertThrows(ExecutionException.class, () -> list.get(MAX_MS, TimeUnit.MILLISECONDS));
+      final long untilMs = System.currentTimeMillis() + MAX_MS;
+      while (endless.openConnections() > 0 && System.currentTimeMillis() < untilMs) {
+        Thread.sleep(10);
+      }
+      assertEquals(1, endless.requests());
+      assertEquals(0, endless.openConnections());
+    }
+  }
 }
