--- a/src/test/java/org/bulrushweir/process/BinaryProcess.java
+++ b/src/test/java/org/bulrushweir/process/BinaryProcess.java
@@ -40,12 +40,26 @@
    * @throws IOException if it can't be started
    */
   static BinaryProcess start(final Path log, final String... arguments) throws IOException {
+    return startWith("-Xmx128m -XX:TieredStopAtLevel=1", log, arguments);
+  }
+
+  /**
+   * Starts the binary with options of the JVM.
+   *
+   * @param javaOptions the options, separated by spaces
+   * @param log where its log goes
+   * @param arguments the command and its options
+   * @return the running process
+   * @throws IOException if it can't be started
+   */
+  static BinaryProcess startWith(
+      final String javaOptions, final Path log, final String... arguments) throws IOException {
     final List<String> command = new ArrayList<>();
     command.add(System.getProperty("bulrushweir.binary"));
     command.addAll(List.of(arguments));
     final ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
-    builder.environment().put("BULRUSHWEIR_JAVA_OPTIONS", "-Xmx128m -XX:TieredStopAtLevel=1");
+    builder.environment().put("BULRUSHWEIR_JAVA_OPTIONS", javaOptions);
     builder.redirectError(log.toFile());
     return new BinaryProcess(builder.start(), log);
   }
