--- a/src/test/java/org/bulrushweir/process/BinaryProcess.java
+++ b/src/test/java/org/bulrushweir/process/BinaryProcess.java
@@ -15,7 +15,7 @@
 import java.util.regex.Pattern;
 
 /** Runs the binary as a separate process. */
-final class BinaryProcess implements AutoCloseable {
+public final class BinaryProcess implements AutoCloseable {
 
   private static final long START_TIMEOUT_S = 60;
   private static final Pattern PORT = Pattern.compile("port=(\\d+)");
@@ -39,7 +39,7 @@
    * @return the running process
    * @throws IOException if it can't be started
    */
-  static BinaryProcess start(final Path log, final String... arguments) throws IOException {
+  public static BinaryProcess start(final Path log, final String... arguments) throws IOException {
     return startWith("-Xmx128m -XX:TieredStopAtLevel=1", log, arguments);
   }
 
@@ -84,7 +84,7 @@
    *
    * @return the port that it says
    */
-  int awaitPort() {
+  public int awaitPort() {
     try {
       return port.get(START_TIMEOUT_S, TimeUnit.SECONDS);
     } catch (ExecutionException | TimeoutException e) {
@@ -113,7 +113,7 @@
    *
    * @return the lines so far
    */
-  String outputText() {
+  public String outputText() {
     return output.toString();
   }
 
@@ -122,10 +122,19 @@
    *
    * @return the id
    */
-  long pid() {
+  public long pid() {
     return process.pid();
   }
 
+  /**
+   * Returns whether the process runs.
+   *
+   * @return false if it has ended
+   */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
   /** Asks the process to stop gracefully. */
   void terminate() {
     process.destroy();
@@ -143,7 +152,7 @@
    * @return false if it still runs
    * @throws InterruptedException if the thread is interrupted
    */
-  boolean awaitEnd(final long timeoutMs) throws InterruptedException {
+  public boolean awaitEnd(final long timeoutMs) throws InterruptedException {
     return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
   }
 
@@ -152,7 +161,7 @@
    *
    * @param signal the signal's name, for example STOP
    */
-  void signal(final String signal) {
+  public void signal(final String signal) {
     try {
       new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
     } catch (IOException e) {
--- a/src/test/java/org/bulrushweir/process/FreePort.java
+++ b/src/test/java/org/bulrushweir/process/FreePort.java
@@ -8,7 +8,7 @@
  * Finds ports that nobody uses. Each test process has a range of its own below the ports that the
  * kernel assigns to connections, so that a port stays free until its user binds it.
  */
-final class FreePort {
+public final class FreePort {
 
   private static final int FIRST_PORT = 11_000;
   private static final int PORTS_PER_FORK = 1_500;
@@ -31,7 +31,7 @@
    * @return the port
    * @throws IOException if there is none
    */
-  static synchronized int find() throws IOException {
+  public static synchronized int find() throws IOException {
     for (int tries = 0; tries < PORTS_PER_FORK; tries++) {
       offset = (offset + 1) % PORTS_PER_FORK;
       if (isFree(RANGE_START + offset)) {
