--- a/src/test/java/org/bulrushweir/soak/BrokenGateway.java
+++ b/src/test/java/org/bulrushweir/soak/BrokenGateway.java
@@ -261,6 +261,11 @@
     return sabotage != Sabotage.ENDS || !isSteady();
   }
 
+  @Override
+  public long pid() {
+    return 0;
+  }
+
   @Override
   public long memoryKb() {
     return sabotage == Sabotage.GROWS && isSteady() ? HUGE_KB : 0;
--- a/src/test/java/org/bulrushweir/soak/GatewayControl.java
+++ b/src/test/java/org/bulrushweir/soak/GatewayControl.java
@@ -15,6 +15,7 @@
   private static final long MAX_MEMORY_KB = 400_000;
 
   private final ReentrantLock lifecycle = new ReentrantLock();
+  private final ProcessorWait processor = new ProcessorWait();
   private final SoakGateway gateway;
   private final Impairments impairments;
   private final Checker checker;
@@ -25,6 +26,8 @@
   private volatile int signalledBoot;
 
   private volatile long maxMemoryKb;
+  private volatile int starvedCount;
+  private long inspectedAtMs;
 
   /**
    * Creates the control of a gateway that does not run yet.
@@ -53,6 +56,11 @@
     return maxMemoryKb;
   }
 
+  /** Returns in how many inspections the process had waited for a processor most of the time. */
+  int starvedCount() {
+    return starvedCount;
+  }
+
   /** Stops the process with SIGTERM and starts another one; only signals if one is stopping. */
   void stop(final long pauseMs) throws InterruptedException {
     signalledBoot = gateway.boot();
@@ -169,6 +177,12 @@
         lifecycle.unlock();
       }
     }
+    final long nowMs = checker.nowMs();
+    if (gateway.pid() > 0 && processor.measure(gateway.pid(), 1, nowMs)) {
+      starvedCount++;
+      impairments.add(Checker.starving(gateway.name()), inspectedAtMs, nowMs);
+    }
+    inspectedAtMs = nowMs;
     final long memoryKb = gateway.memoryKb();
     if (memoryKb > MAX_MEMORY_KB) {
       checker.breach(Promise.BOUNDED_MEMORY, gateway.name() + " has " + memoryKb + " kB");
--- a/src/test/java/org/bulrushweir/soak/GatewayProcess.java
+++ b/src/test/java/org/bulrushweir/soak/GatewayProcess.java
@@ -96,6 +96,11 @@
     return process.isAlive();
   }
 
+  @Override
+  public long pid() {
+    return process.pid();
+  }
+
   @Override
   public long memoryKb() {
     try {
--- a/src/test/java/org/bulrushweir/soak/Impairments.java
+++ b/src/test/java/org/bulrushweir/soak/Impairments.java
@@ -35,6 +35,17 @@
     return endMs -> end(span, endMs);
   }
 
+  /**
+   * Adds an impairment that is over.
+   *
+   * @param name what was impaired
+   * @param fromMs when it began
+   * @param toMs when it ended
+   */
+  synchronized void add(final String name, final long fromMs, final long toMs) {
+    begin(name, fromMs).accept(toMs);
+  }
+
   private synchronized void end(final Span span, final long endMs) {
     span.toMs = endMs;
   }
--- a/src/test/java/org/bulrushweir/soak/SoakGateway.java
+++ b/src/test/java/org/bulrushweir/soak/SoakGateway.java
@@ -17,6 +17,9 @@
   /** Returns whether its process runs. */
   boolean isAlive();
 
+  /** Returns the id of its process, zero if there is none. */
+  long pid();
+
   /** Returns the memory of its process in kilobytes, zero if it can't be read. */
   long memoryKb();
 
