--- a/src/test/java/org/bulrushweir/soak/SoakOptions.java
+++ b/src/test/java/org/bulrushweir/soak/SoakOptions.java
@@ -24,13 +24,13 @@
    * Reads the options of processes from the system properties {@code soak.*}.
    *
    * @param seed the seed
-   * @param seconds how long faults are injected if no property says so, in seconds
+   * @param seconds how long faults are injected, in seconds
    * @return the options
    */
   static SoakOptions ofProperties(final long seed, final int seconds) {
     return new SoakOptions(
         seed,
-        Integer.getInteger("soak.seconds", seconds) * 1_000L,
+        seconds * 1_000L,
         Integer.getInteger("soak.gateways", 3),
         Integer.getInteger("soak.endpoints", 9),
         Integer.getInteger("soak.callers", 24),
--- a/src/test/java/org/bulrushweir/soak/SoakProcessTest.java
+++ b/src/test/java/org/bulrushweir/soak/SoakProcessTest.java
@@ -7,7 +7,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.LongStream;
+import java.util.Map;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -21,22 +22,29 @@
   private static final long SEED = 1;
   private static final int SECONDS = 25;
 
-  private static List<Long> seeds() throws IOException {
+  /** Reads the seeds, each with the seconds for which faults are injected. */
+  private static Map<Long, Integer> seeds() throws IOException {
+    final Map<Long, Integer> seeds = new TreeMap<>();
     if (Boolean.getBoolean("soak.failed")) {
-      return Files.readAllLines(FAILED_SEEDS).stream()
+      Files.readAllLines(FAILED_SEEDS).stream()
           .filter(line -> !line.startsWith("#"))
-          .map(line -> Long.parseLong(line.substring(0, line.indexOf(' '))))
-          .toList();
+          .map(line -> line.split(" ", 3))
+          .forEach(words -> seeds.put(Long.parseLong(words[0]), Integer.parseInt(words[1])));
+      return seeds;
     }
     final long first = Long.getLong("soak.seed", SEED);
-    return LongStream.range(first, first + Integer.getInteger("soak.seeds", 1)).boxed().toList();
+    for (int number = 0; number < Integer.getInteger("soak.seeds", 1); number++) {
+      seeds.put(first + number, Integer.getInteger("soak.seconds", SECONDS));
+    }
+    return seeds;
   }
 
   @Test
   void promisesHoldUnderFaults() throws Exception {
     final List<String> failures = new ArrayList<>();
-    for (final long seed : seeds()) {
-      final SoakOptions options = SoakOptions.ofProperties(seed, SECONDS);
+    for (final Map.Entry<Long, Integer> entry : seeds().entrySet()) {
+      final long seed = entry.getKey();
+      final SoakOptions options = SoakOptions.ofProperties(seed, entry.getValue());
       try (Soak soak = new Soak(options, DIRECTORY.resolve("seed-" + seed))) {
         final List<Breach> breaches = soak.run();
         System.out.println(soak.report());
