The exit answers the requests that endpoints still work on

In a planned stop, callers whose request was at an endpoint when the process ended got a closed connection and no answer, bookings among them. The exit ended only requests that were not sent yet; those at an endpoint, and those received in part, were left to the end of the process.

GatewayStopLoadProcessTest sends requests of all kinds to a gateway process before, during and after SIGTERM.

The machine of a request now ends at the exit as for a broken attempt: 503 if nothing was sent, otherwise 502, which promises nothing. The process gives the last responses up to 100 ms.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -339,13 +339,29 @@
     context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
-  /** Ends the request if it is not at an endpoint. */
-  void endUnsent() {
+  /**
+   * Answers the request before the process exits, unless its response has started. One that was
+   * received in part is refused as not run.
+   */
+  void answerBeforeExit() {
     if (exchange != null) {
-      exchange.endUnsent();
+      exchange.answerBeforeExit();
+    } else if (request != null && !pipeline.isBusy() && !pipeline.isClosing()) {
+      refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
   }
 
+  /**
+   * Returns whether a request that was received still has to be answered, or its answer has to be
+   * sent. A response that the end of the process cuts off does not count.
+   *
+   * @return false if the process may exit
+   */
+  boolean awaitsAnswer() {
+    final boolean responding = exchange != null;
+    return !responding && (pipeline.hasWaiting() || pipeline.isClosing());
+  }
+
   /** Ends the current attempt of the request if its endpoint would crash when it responds. */
   void cancelIfQuarantined() {
     if (exchange != null) {
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -268,11 +268,12 @@
         responseStartMs);
   }
 
-  /** Ends the current attempt if it has not been sent. */
-  void endUnsent() {
+  /** Answers the caller before the process exits, unless the response has started. */
+  void answerBeforeExit() {
     if (currentAttempt != null) {
       currentAttempt.endUnsent();
     }
+    handle(new RelayEvent.ProcessExits());
   }
 
   /** Ends the current attempt if its endpoint would crash when it responds. */
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -172,14 +172,19 @@
   }
 
   /**
-   * Refuses all requests from now on, and those that have not been sent to an endpoint: the process
-   * is about to exit and waits for none of them. Must run in the same task as the check that
-   * nothing is in flight.
+   * Refuses all requests from now on and answers those that have no response: the process is about
+   * to exit and waits for none of them. Must run in the same task as the check that nothing is in
+   * flight.
    */
   void startExit() {
     exiting = true;
     gate.open();
-    List.copyOf(connections).forEach(CallerHandler::endUnsent);
+    List.copyOf(connections).forEach(CallerHandler::answerBeforeExit);
+  }
+
+  /** Returns whether a caller still has to be answered, see {@link CallerHandler#awaitsAnswer}. */
+  boolean awaitsAnswers() {
+    return connections.stream().anyMatch(CallerHandler::awaitsAnswer);
   }
 
   boolean isExiting() {
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -2,8 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
-import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.balancing.EndpointSelector;
@@ -46,12 +46,23 @@
    */
   private static final long QUIET_PERIOD_MS = 400;
 
+  private static final Set<SharedTable> FOLLOWED_TABLES =
+      Set.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS);
+
   /** The interval at which a draining process checks whether it is done, in milliseconds. */
   private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
   /** The shortest time between two log lines on a full quarantine, in seconds. */
   private static final int FULL_LOG_INTERVAL_S = 10;
 
+  /** The time allowed to the last responses before the process exits, in milliseconds. */
+  private static final long LAST_RESPONSES_MS = 100;
+
+  /**
+   * The interval at which a process checks whether its last responses are sent, in milliseconds.
+   */
+  private static final long LAST_RESPONSES_INTERVAL_MS = 5;
+
   private final GatewaySettings settings;
   private final Clock clock;
   private final CallersSocketService socket;
@@ -97,8 +108,7 @@
     final ActivePlan activePlan = new ActivePlan();
     final EndpointDirectory directory = new EndpointDirectory();
     final EndpointTracker tracker = tracker(settings, activePlan, directory);
-    final StartGate gate =
-        new StartGate(EnumSet.of(SharedTable.CONFIGURATION, SharedTable.ENDPOINTS));
+    final StartGate gate = new StartGate(FOLLOWED_TABLES);
     if (!settings.firstStart()) {
       gate.whenTablesRead(
           new EngineCacheReader(caches, activePlan, directory, tracker, loop, clock)::queryAll);
@@ -283,15 +293,13 @@
     logger.atInfo().log("draining; %d requests in flight", core.inFlight());
     boolean drained = false;
     while (!drained && clock.nowMs() < exitByMs) {
-      try {
-        Thread.sleep(DRAIN_CHECK_INTERVAL_MS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
+      if (!sleep(DRAIN_CHECK_INTERVAL_MS)) {
         return;
       }
       drained = loops.loop().submit(() -> exitIfDrained(startMs)).syncUninterruptibly().getNow();
     }
     loops.loop().submit(core::startExit).syncUninterruptibly();
+    awaitLastResponses();
     followers.forEach(TableFollower::stop);
     loops
         .loop()
@@ -305,6 +313,25 @@
         "stopped after %d ms; %d requests cut off", clock.nowMs() - startMs, core.inFlight());
   }
 
+  private void awaitLastResponses() {
+    final long endMs = clock.nowMs() + LAST_RESPONSES_MS;
+    boolean waiting = true;
+    while (waiting && clock.nowMs() < endMs && sleep(LAST_RESPONSES_INTERVAL_MS)) {
+      waiting = loops.loop().submit(core::awaitsAnswers).syncUninterruptibly().getNow();
+    }
+  }
+
+  /** Sleeps; returns false if the thread is interrupted. */
+  private static boolean sleep(final long ms) {
+    try {
+      Thread.sleep(ms);
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
   /**
    * Stops accepting requests if no caller sends a request or still receives a response; returns
    * whether that is so.
--- a/src/main/java/org/bulrushweir/relay/RelayEvent.java
+++ b/src/main/java/org/bulrushweir/relay/RelayEvent.java
@@ -51,6 +51,9 @@
   /** The caller has closed its connection. */
   record CallerDisconnected() implements RelayEvent {}
 
+  /** The process is about to exit and waits for no response any more. */
+  record ProcessExits() implements RelayEvent {}
+
   /** The time returned by {@link RelayMachine#nextTickMs} may have been reached. */
   record Tick() implements RelayEvent {}
 }
--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -159,6 +159,7 @@
         }
       }
       case RelayEvent.CallerDisconnected disconnected -> callerDisconnected();
+      case RelayEvent.ProcessExits exits -> processExits();
       case RelayEvent.Tick tick -> tick(nowMs);
     }
   }
@@ -319,6 +320,22 @@
     finish(new RelayAction.Refuse(new Refusal(RefusalReason.TIMED_OUT, 0, "deadline exceeded")));
   }
 
+  /**
+   * Answers the caller if no response has started. A response that has started goes on: it may end
+   * before the process does, and nothing else can be sent in its place.
+   */
+  private void processExits() {
+    if (isForwarding()) {
+      return;
+    }
+    actions.add(new RelayAction.Abort(current));
+    if (currentSent) {
+      possibleExecutions++;
+    }
+    lastDetail = "the process stops";
+    endWithoutResponse();
+  }
+
   private void callerDisconnected() {
     finish(new RelayAction.Abort(current));
   }
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -205,6 +205,35 @@
     assertNotNull(channel.readOutbound());
   }
 
+  /** Guards against a process that exits while a caller still sends the body of its request. */
+  @Test
+  void requestReceivedInPartIsRefusedAtTheExit() {
+    final EmbeddedChannel channel = new EmbeddedChannel(handler);
+    final DefaultHttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/book/1");
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 10);
+    channel.writeInbound(head, new DefaultHttpContent(bytes("half")));
+    core.startDraining();
+    core.startExit();
+    channel.runPendingTasks();
+    assertEquals(List.of("503 close"), responses(channel));
+    assertFalse(channel.isOpen());
+  }
+
+  /** Guards against a process that exits between two answers on a connection. */
+  @Test
+  void exitWaitsForRequestsThatWaitBehindAnAnsweredOne() {
+    final GatewayCore stopping = startingCore();
+    final EmbeddedChannel channel = connection(stopping);
+    channel.writeInbound(properRequest(), properRequest());
+    stopping.startDraining();
+    stopping.startExit();
+    assertTrue(stopping.awaitsAnswers());
+    channel.runPendingTasks();
+    assertFalse(stopping.awaitsAnswers());
+    assertEquals(List.of("503", "503 close"), responses(channel));
+  }
+
   private static DefaultFullHttpRequest request() {
     return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/without-host");
   }
--- a/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
+++ b/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
@@ -225,4 +225,38 @@
         List.of(new RelayAction.Forward(SECOND)),
         machine.on(new RelayEvent.HeadReceived(SECOND, OK), 404));
   }
+
+  /**
+   * Guards against requests at an endpoint that the end of a process cuts off without an answer.
+   */
+  @Test
+  void requestAtAnEndpointIsAnsweredAsUnknownWhenTheProcessExits() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    final List<RelayAction> actions = machine.on(new RelayEvent.ProcessExits(), 10);
+    assertEquals(new RelayAction.Abort(FIRST), actions.getFirst());
+    assertEquals(RefusalReason.FAILED, reason(actions));
+    assertTrue(machine.isFinished());
+  }
+
+  @Test
+  void requestThatIsNotSentIsRefusedAsNotRunWhenTheProcessExits() {
+    final RelayMachine machine = started(UNSAFE, new ScriptedEndpoints(2, 1));
+    assertEquals(RefusalReason.NOT_RUN, reason(machine.on(new RelayEvent.ProcessExits(), 10)));
+  }
+
+  /** Guards against the promise that a request was not run while its first attempt may have. */
+  @Test
+  void requestWhoseRepetitionIsNotSentIsAnsweredAsUnknownWhenTheProcessExits() {
+    final RelayMachine machine = sent(SAFE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.Broken(FIRST, "reset"), 10);
+    assertEquals(RefusalReason.FAILED, reason(machine.on(new RelayEvent.ProcessExits(), 20)));
+  }
+
+  @Test
+  void responseThatHasStartedGoesOnWhenTheProcessExits() {
+    final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
+    machine.on(new RelayEvent.HeadReceived(FIRST, OK), 10);
+    assertEquals(List.of(), machine.on(new RelayEvent.ProcessExits(), 20));
+    assertEquals(List.of(new RelayAction.Complete()), machine.on(new RelayEvent.Ended(FIRST), 30));
+  }
 }
