The times of a stop run from the signal

A stop that waited for a slow start began its grace period when the start was over: the gateway took requests that it could not answer before the kill, and was still running when the kill came. The command now records the time of the first signal before it stops the kernel, and the drain, its policy and the exit run from that time.

--- a/src/main/java/org/bulrushweir/command/GatewayCommand.java
+++ b/src/main/java/org/bulrushweir/command/GatewayCommand.java
@@ -12,6 +12,7 @@
 import org.bulrushweir.logging.LogSetup;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.process.DaggerGatewayComponent;
+import org.bulrushweir.process.GatewayComponent;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.GatewaySettingsLoader;
 
@@ -48,8 +49,9 @@
         GatewaySettingsLoader.load(file.toString(), Files.readString(file));
     final AsyncLogWriter log = new AsyncLogWriter(console.out(), AsyncLogWriter.DEFAULT_CAPACITY);
     LogSetup.install(settings.logFormat(), settings.logLevel(), settings.node(), log);
-    final Kernel kernel = DaggerGatewayComponent.factory().create(settings, log).kernel();
-    ProcessSignals.handle(() -> stop(kernel, log));
+    final GatewayComponent component = DaggerGatewayComponent.factory().create(settings, log);
+    final Kernel kernel = component.kernel();
+    ProcessSignals.handle(() -> stop(component, log));
     kernel.start();
     final int port = kernel.find(ServiceNames.GATEWAY, GatewayService.class).callersPort();
     console.out().println("ready " + settings.node() + " port=" + port);
@@ -68,9 +70,10 @@
     return path;
   }
 
-  private static void stop(final Kernel kernel, final AsyncLogWriter log) {
+  private static void stop(final GatewayComponent component, final AsyncLogWriter log) {
     try {
-      kernel.stop();
+      component.stopSignal().receive(component.clock().nowMs());
+      component.kernel().stop();
       log.close();
     } finally {
       Runtime.getRuntime().halt(ExitCode.OK.number());
--- a/src/main/java/org/bulrushweir/demo/DemoFleet.java
+++ b/src/main/java/org/bulrushweir/demo/DemoFleet.java
@@ -8,13 +8,13 @@
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.gateway.GatewayService;
-import org.bulrushweir.kernel.Kernel;
 import org.bulrushweir.kernel.SystemClock;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.node.ServiceNames;
 import org.bulrushweir.platform.ExampleConfiguration;
 import org.bulrushweir.platform.RoutingPlanDecoder;
 import org.bulrushweir.process.DaggerGatewayComponent;
+import org.bulrushweir.process.GatewayComponent;
 import org.bulrushweir.settings.GatewaySettings;
 import org.bulrushweir.settings.GatewaySettingsLoader;
 import org.bulrushweir.standin.DirectEndpointStandIn;
@@ -34,7 +34,7 @@
   private static final String HOST = "127.0.0.1";
 
   private final Map<EndpointId, DirectEndpointStandIn> endpoints = new LinkedHashMap<>();
-  private final List<Kernel> gateways = new ArrayList<>();
+  private final List<GatewayComponent> gateways = new ArrayList<>();
   private final List<AsyncLogWriter> logs = new ArrayList<>();
   private final PlatformStandIn platform = new PlatformStandIn(HOST, 0, new SystemClock(), 0);
   private final PrintStream log;
@@ -128,11 +128,11 @@
             """
                 .formatted(name, graceMs, platform.port()));
     final AsyncLogWriter writer = new AsyncLogWriter(log, AsyncLogWriter.DEFAULT_CAPACITY);
-    final Kernel kernel = DaggerGatewayComponent.factory().create(settings, writer).kernel();
-    kernel.start();
-    gateways.add(kernel);
+    final GatewayComponent gateway = DaggerGatewayComponent.factory().create(settings, writer);
+    gateway.kernel().start();
+    gateways.add(gateway);
     logs.add(writer);
-    return kernel.find(ServiceNames.GATEWAY, GatewayService.class);
+    return gateway.kernel().find(ServiceNames.GATEWAY, GatewayService.class);
   }
 
   /**
@@ -141,12 +141,23 @@
    * @param index its number in the order of the starts, counted from zero
    */
   public void stopGateway(final int index) {
-    gateways.get(index).stop();
+    stopGateway(index, new SystemClock().nowMs());
+  }
+
+  /**
+   * Stops a gateway as an earlier stop signal would.
+   *
+   * @param index its number in the order of the starts, counted from zero
+   * @param signalMs the time of the signal, in Unix milliseconds
+   */
+  public void stopGateway(final int index, final long signalMs) {
+    gateways.get(index).stopSignal().receive(signalMs);
+    gateways.get(index).kernel().stop();
   }
 
   @Override
   public void close() {
-    gateways.forEach(Kernel::stop);
+    gateways.forEach(gateway -> gateway.kernel().stop());
     endpoints.values().forEach(DirectEndpointStandIn::close);
     platform.close();
     logs.forEach(AsyncLogWriter::close);
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -167,8 +167,13 @@
     return drainingSinceMs != NOT_DRAINING;
   }
 
-  void startDraining() {
-    drainingSinceMs = clock.nowMs();
+  /**
+   * Starts to drain.
+   *
+   * @param signalMs the time of the stop signal, in Unix milliseconds
+   */
+  void startDraining(final long signalMs) {
+    drainingSinceMs = signalMs;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -14,6 +14,7 @@
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.kernel.PeriodicTask;
+import org.bulrushweir.kernel.StopSignal;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.platform.EngineCacheClient;
 import org.bulrushweir.quarantine.PromptQuarantine;
@@ -65,6 +66,7 @@
 
   private final GatewaySettings settings;
   private final Clock clock;
+  private final StopSignal stopSignal;
   private final CallersSocketService socket;
   private final EventLoopService loops;
   private final GatewayMetrics metrics;
@@ -83,6 +85,7 @@
    *
    * @param settings the gateway's settings
    * @param clock the process's clock
+   * @param stopSignal tells when the process was told to stop
    * @param socket the listening socket for callers
    * @param loops the event loop
    * @param feed the store's change feed
@@ -93,6 +96,7 @@
   public GatewayService(
       final GatewaySettings settings,
       final Clock clock,
+      final StopSignal stopSignal,
       final CallersSocketService socket,
       final EventLoopService loops,
       final ChangeFeed feed,
@@ -101,6 +105,7 @@
       final AsyncLogWriter log) {
     this.settings = settings;
     this.clock = clock;
+    this.stopSignal = stopSignal;
     this.socket = socket;
     this.loops = loops;
     this.metrics = metrics;
@@ -283,20 +288,21 @@
 
   /**
    * Drains the gateway: reports not ready, completes the requests in flight, and returns when their
-   * callers have received all responses or when the grace period is about to end.
+   * callers have received all responses or when the grace period is about to end. The grace period
+   * runs from the stop signal.
    */
   @Override
   public void stop() {
-    final long startMs = clock.nowMs();
-    final long exitByMs = startMs + drainPolicy.exitAfterMs();
-    loops.loop().submit(core::startDraining).syncUninterruptibly();
+    final long signalMs = stopSignal.sinceMs(clock.nowMs());
+    final long exitByMs = signalMs + drainPolicy.exitAfterMs();
+    loops.loop().submit(() -> core.startDraining(signalMs)).syncUninterruptibly();
     logger.atInfo().log("draining; %d requests in flight", core.inFlight());
     boolean drained = false;
     while (!drained && clock.nowMs() < exitByMs) {
       if (!sleep(DRAIN_CHECK_INTERVAL_MS)) {
         return;
       }
-      drained = loops.loop().submit(() -> exitIfDrained(startMs)).syncUninterruptibly().getNow();
+      drained = loops.loop().submit(() -> exitIfDrained(signalMs)).syncUninterruptibly().getNow();
     }
     loops.loop().submit(core::startExit).syncUninterruptibly();
     awaitLastResponses();
@@ -310,7 +316,7 @@
             })
         .syncUninterruptibly();
     logger.atInfo().log(
-        "stopped after %d ms; %d requests cut off", clock.nowMs() - startMs, core.inFlight());
+        "stopped after %d ms; %d requests cut off", clock.nowMs() - signalMs, core.inFlight());
   }
 
   private void awaitLastResponses() {
@@ -336,9 +342,9 @@
    * Stops accepting requests if no caller sends a request or still receives a response; returns
    * whether that is so.
    */
-  private boolean exitIfDrained(final long startMs) {
+  private boolean exitIfDrained(final long signalMs) {
     final long nowMs = clock.nowMs();
-    if (nowMs - startMs < DrainPolicy.BALANCER_NOTICE_MS) {
+    if (nowMs - signalMs < DrainPolicy.BALANCER_NOTICE_MS) {
       return false;
     }
     core.closeIdleConnections();
--- a/src/main/java/org/bulrushweir/process/GatewayComponent.java
+++ b/src/main/java/org/bulrushweir/process/GatewayComponent.java
@@ -3,7 +3,9 @@
 import dagger.BindsInstance;
 import dagger.Component;
 import javax.inject.Singleton;
+import org.bulrushweir.api.Clock;
 import org.bulrushweir.kernel.Kernel;
+import org.bulrushweir.kernel.StopSignal;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.settings.GatewaySettings;
 
@@ -19,6 +21,20 @@
    */
   Kernel kernel();
 
+  /**
+   * Returns the process's clock.
+   *
+   * @return the clock
+   */
+  Clock clock();
+
+  /**
+   * Returns what tells the services when the process was told to stop.
+   *
+   * @return the signal, to be recorded before the kernel is stopped
+   */
+  StopSignal stopSignal();
+
   /** Creates the component. */
   @Component.Factory
   interface Factory {
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -11,6 +11,7 @@
 import org.bulrushweir.gateway.GatewayMetrics;
 import org.bulrushweir.gateway.GatewayService;
 import org.bulrushweir.kernel.ServiceFactory;
+import org.bulrushweir.kernel.StopSignal;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.node.PlatformService;
 import org.bulrushweir.node.ServiceNames;
@@ -28,6 +29,12 @@
     return new GatewayMetrics();
   }
 
+  @Provides
+  @Singleton
+  static StopSignal stopSignal() {
+    return new StopSignal();
+  }
+
   @Provides
   @IntoMap
   @StringKey(ServiceNames.PLATFORM)
@@ -54,6 +61,7 @@
    *
    * @param settings the gateway's settings
    * @param clock the clock
+   * @param stopSignal tells when the process was told to stop
    * @param metrics the metrics
    * @param log takes a line for each decision
    * @return the factory
@@ -64,6 +72,7 @@
   static ServiceFactory gateway(
       final GatewaySettings settings,
       final Clock clock,
+      final StopSignal stopSignal,
       final GatewayMetrics metrics,
       final AsyncLogWriter log) {
     return services -> {
@@ -71,6 +80,7 @@
       return new GatewayService(
           settings,
           clock,
+          stopSignal,
           services.find(ServiceNames.CALLERS_SOCKET, CallersSocketService.class),
           services.find(ServiceNames.EVENT_LOOP, EventLoopService.class),
           platform.feed(),
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -157,7 +157,7 @@
     final GatewayCore stopping = startingCore();
     final EmbeddedChannel channel = connection(stopping);
     channel.writeInbound(properRequest(), request(), properRequest());
-    stopping.startDraining();
+    stopping.startDraining(0);
     GatewayCoreFixture.open(gate, directory);
     channel.runPendingTasks();
     assertEquals(List.of("503", "400", "503 close"), responses(channel));
@@ -200,7 +200,7 @@
     final EmbeddedChannel channel = connection(starting);
     channel.writeInbound(request());
     assertNull(channel.readOutbound());
-    starting.startDraining();
+    starting.startDraining(0);
     starting.startExit();
     assertNotNull(channel.readOutbound());
   }
@@ -213,7 +213,7 @@
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/book/1");
     head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 10);
     channel.writeInbound(head, new DefaultHttpContent(bytes("half")));
-    core.startDraining();
+    core.startDraining(0);
     core.startExit();
     channel.runPendingTasks();
     assertEquals(List.of("503 close"), responses(channel));
@@ -226,7 +226,7 @@
     final GatewayCore stopping = startingCore();
     final EmbeddedChannel channel = connection(stopping);
     channel.writeInbound(properRequest(), properRequest());
-    stopping.startDraining();
+    stopping.startDraining(0);
     stopping.startExit();
     assertTrue(stopping.awaitsAnswers());
     channel.runPendingTasks();
--- a/src/test/java/org/bulrushweir/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayDrainTest.java
@@ -27,6 +27,10 @@
 
   private static final String LAST_EVENT = "id: 10\n";
   private static final int READ_PAUSE_MS = 3_000;
+
+  /** The time by which a stop begins after its signal; the stream above does not end before. */
+  private static final long STOP_DELAY_MS = 5_500;
+
   private static final long WAIT_MS = 4_000;
 
   private final DemoFleet fleet =
@@ -93,6 +97,23 @@
     stop.get(GRACE_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Guards against a stop that starts late, after a slow start, and is cut short by the kill. */
+  @Test
+  void gracePeriodRunsFromTheSignalThoughTheStopBeginsLater() throws Exception {
+    final CompletableFuture<String> taken = sendReview("r1");
+    Thread.sleep(200);
+    final long startMs = System.currentTimeMillis();
+    final CompletableFuture<Void> stop =
+        CompletableFuture.runAsync(() -> fleet.stopGateway(0, startMs - STOP_DELAY_MS));
+    Thread.sleep(100);
+    final String late = sendReview("r2").get(GRACE_MS, TimeUnit.MILLISECONDS);
+    assertTrue(late.startsWith("HTTP/1.1 503"), late);
+    stop.get(GRACE_MS, TimeUnit.MILLISECONDS);
+    final long stoppedMs = System.currentTimeMillis() - startMs + STOP_DELAY_MS;
+    assertTrue(stoppedMs <= GRACE_MS, "stopped " + stoppedMs + " ms after the signal");
+    taken.get(GRACE_MS, TimeUnit.MILLISECONDS);
+  }
+
   @Test
   void requestTakenAfterTheGatewayHasDrainedIsRefusedAsNotRun() {
     gateway.stop();
