A stop does not close connections that only look idle

Callers of a gateway that was stopped right after its start sent requests and had their connections closed after a second without an answer. The event loop was held up by the first configuration; the check for idle connections ran before the loop had read what had arrived meanwhile.

A check that waited for the loop for longer than its interval now leaves the connections to the next one.

--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -302,7 +302,13 @@
       if (!sleep(DRAIN_CHECK_INTERVAL_MS)) {
         return;
       }
-      drained = loops.loop().submit(() -> exitIfDrained(signalMs)).syncUninterruptibly().getNow();
+      final long submittedMs = clock.nowMs();
+      drained =
+          loops
+              .loop()
+              .submit(() -> exitIfDrained(signalMs, submittedMs))
+              .syncUninterruptibly()
+              .getNow();
     }
     loops.loop().submit(core::startExit).syncUninterruptibly();
     awaitLastResponses();
@@ -340,11 +346,13 @@
 
   /**
    * Stops accepting requests if no caller sends a request or still receives a response; returns
-   * whether that is so.
+   * whether that is so. An event loop that was held up has not read yet what callers have sent
+   * meanwhile: their connections only look idle.
    */
-  private boolean exitIfDrained(final long signalMs) {
+  private boolean exitIfDrained(final long signalMs, final long submittedMs) {
     final long nowMs = clock.nowMs();
-    if (nowMs - signalMs < DrainPolicy.BALANCER_NOTICE_MS) {
+    if (nowMs - signalMs < DrainPolicy.BALANCER_NOTICE_MS
+        || nowMs - submittedMs > DRAIN_CHECK_INTERVAL_MS) {
       return false;
     }
     core.closeIdleConnections();
