The first response of a connection may quote the head of another one

Callers would not get a sound answer whose body quotes the head of a response: it was taken for a joined one on every connection, so each try failed. No earlier response can be inside the first one of a connection, unless its body ends with the connection; only there and on reused connections bodies are checked now. A response that is rejected at its end counts as unexpected bytes, so that the next request has a connection of its own and gets its answer.

ResponseBodyCheckTest.firstResponseOfConnectionMayQuoteHeads failed before (its first two assertions hold no longer with the old condition).

--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -266,7 +266,11 @@
     if (!following.isEmpty()) {
       report(UnexpectedBytes.IDLE);
     }
-    return body.findFault(following);
+    final Optional<String> fault = body.findFault(following);
+    if (fault.isPresent()) {
+      report(UnexpectedBytes.JOINED_BODY);
+    }
+    return fault;
   }
 
   private boolean isSound(final ByteBuf part) {
--- a/src/main/java/org/bulrushweir/relay/ResponseBodyCheck.java
+++ b/src/main/java/org/bulrushweir/relay/ResponseBodyCheck.java
@@ -16,6 +16,12 @@
   private final boolean eventStream;
   private final boolean reused;
 
+  /**
+   * Whether there may be bytes of another response: of an earlier one on the connection, or of a
+   * copy of this one behind a body without a stated end.
+   */
+  private final boolean otherPossible;
+
   /**
    * Creates the check of a body.
    *
@@ -29,6 +35,7 @@
     this.framing = framing;
     this.eventStream = eventStream;
     this.reused = reused;
+    this.otherPossible = reused || framing == ResponseFraming.CONNECTION;
   }
 
   /**
@@ -39,7 +46,7 @@
    */
   public boolean accept(final byte value) {
     scanner.accept(value);
-    return !scanner.isJoined();
+    return !otherPossible || !scanner.isJoined();
   }
 
   /**
--- a/src/test/java/org/bulrushweir/relay/ResponseBodyCheckTest.java
+++ b/src/test/java/org/bulrushweir/relay/ResponseBodyCheckTest.java
@@ -78,4 +78,15 @@
     assertTrue(
         isSound(ResponseFraming.CONNECTION, true, false, "data: HTTP/1.1 404 Not Found\n\n", ""));
   }
+
+  /**
+   * Guards against bodies about HTTP that are rejected although no other response can be inside.
+   */
+  @Test
+  void firstResponseOfConnectionMayQuoteHeads() {
+    final String quoted = "we got\r\nHTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n";
+    assertTrue(isSound(ResponseFraming.LENGTH, false, false, quoted, ""));
+    assertTrue(isSound(ResponseFraming.CHUNKED, false, false, quoted, ""));
+    assertFalse(accepts(new ResponseBodyCheck(ResponseFraming.CHUNKED, false, true), quoted));
+  }
 }
