Decoded messages of endpoints are checked without copies

The check of each decoded message made a list and a lambda for each call of the decoder, several for an event of a stream. EndpointConnectionTest, AmbiguousResponseTest, EndpointResponseDecoderTest and CutOffSocketTest passed.

--- a/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointResponseDecoder.java
@@ -124,7 +124,9 @@
       // A call that completes a head consumes nothing behind it.
       buffer.forEachByte(start, buffer.readerIndex() - start, this::scan);
     }
-    out.subList(decoded, out.size()).forEach(this::check);
+    for (int index = decoded; index < out.size(); index++) {
+      check(out.get(index));
+    }
   }
 
   private boolean scan(final byte value) {
