Delays of the event loop and requests of callers that left are recorded

Delays over 250 ms are logged and counted. The end of a request whose caller closed is logged with outcome "left".

--- a/src/main/java/org/bulrushweir/demo/DemoFleet.java
+++ b/src/main/java/org/bulrushweir/demo/DemoFleet.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.gateway.EventLoopService;
 import org.bulrushweir.gateway.GatewayService;
 import org.bulrushweir.kernel.SystemClock;
 import org.bulrushweir.logging.AsyncLogWriter;
@@ -135,6 +137,20 @@
     return gateway.kernel().find(ServiceNames.GATEWAY, GatewayService.class);
   }
 
+  /**
+   * Returns the event loop of a gateway.
+   *
+   * @param index its number in the order of the starts, counted from zero
+   * @return the executor of all of its work
+   */
+  public Executor loop(final int index) {
+    return gateways
+        .get(index)
+        .kernel()
+        .find(ServiceNames.EVENT_LOOP, EventLoopService.class)
+        .loop();
+  }
+
   /**
    * Stops a gateway as a stop signal would.
    *
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -79,9 +79,11 @@
     performPending();
   }
 
+  /** Ends the request, whose response nobody waits for any more. */
   void onCallerDisconnected() {
     callerDisconnected = true;
     handle(new RelayEvent.CallerDisconnected());
+    core.requestFinished(routed, result("left", "the caller closed its connection"));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -39,6 +39,13 @@
           .help("Times that an endpoint sent bytes that belong to no waiting request, by kind.")
           .labelNames("kind")
           .register(registry());
+  private final Histogram loopDelays =
+      Histogram.builder()
+          .name("bulrushweir_gateway_loop_delay_seconds")
+          .help("Times for which the event loop was held up and did not read its sockets.")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS)
+          .register(registry());
   private final Map<String, CounterDataPoint> requestCounters = new HashMap<>();
   private final Map<RequestKind, DistributionDataPoint> firstByteByKind =
       new EnumMap<>(RequestKind.class);
@@ -112,6 +119,15 @@
     failedAttempts.labelValues(result).inc();
   }
 
+  /**
+   * Records a time for which the event loop did not read its sockets.
+   *
+   * @param ms the time in milliseconds
+   */
+  public void recordLoopDelay(final long ms) {
+    loopDelays.observe(ms / MS_PER_SECOND);
+  }
+
   /**
    * Counts bytes of an endpoint that belong to no waiting request.
    *
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -10,6 +10,7 @@
 import org.bulrushweir.gateway.EventLoopService;
 import org.bulrushweir.gateway.GatewayMetrics;
 import org.bulrushweir.gateway.GatewayService;
+import org.bulrushweir.gateway.LoopDelayLog;
 import org.bulrushweir.kernel.ServiceFactory;
 import org.bulrushweir.kernel.StopSignal;
 import org.bulrushweir.logging.AsyncLogWriter;
@@ -52,8 +53,8 @@
   @Provides
   @IntoMap
   @StringKey(ServiceNames.EVENT_LOOP)
-  static ServiceFactory eventLoop() {
-    return services -> new EventLoopService();
+  static ServiceFactory eventLoop(final Clock clock, final GatewayMetrics metrics) {
+    return services -> new EventLoopService(clock, new LoopDelayLog(metrics)::record);
   }
 
   /**
