A caller's connection is always read, so that its close is seen

Reading no longer pauses. The queue stays bounded, at 32 messages: a request for which it has no room is refused with 503 in its turn, which is the last response of the connection; what follows is read and dropped.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -52,7 +52,6 @@
   private HttpRequest request;
   private ByteBuf body;
   private Exchange exchange;
-  private boolean pauseLogged;
   private boolean answersHead;
   private boolean requestSeen;
   private long openedMs;
@@ -87,11 +86,14 @@
 
   @Override
   public void channelRead(final ChannelHandlerContext reading, final Object message) {
-    if (pipeline.isClosing()) {
+    final boolean overflowedBefore = pipeline.hasOverflowed();
+    if (!pipeline.add(new Received((HttpObject) message, core.nowMs()))) {
       ReferenceCountUtil.release(message);
+      if (!overflowedBefore && pipeline.hasOverflowed()) {
+        logOverflow();
+      }
       return;
     }
-    pipeline.add(new Received((HttpObject) message, core.nowMs()));
     handleNext();
   }
 
@@ -102,22 +104,15 @@
       handleMessage(next.get().message(), next.get().atMs());
       next = pipeline.next();
     }
-    final boolean reads = context.channel().config().isAutoRead();
-    if (reads && pipeline.isFull() || !reads && !pipeline.hasWaiting()) {
-      if (reads) {
-        logFirstPause();
-      }
-      context.channel().config().setAutoRead(!reads);
+    if (pipeline.isOverflowDue()) {
+      refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
   }
 
-  private void logFirstPause() {
-    if (!pauseLogged) {
-      pauseLogged = true;
-      logger.atInfo().log(
-          "reading from caller %s pauses while its queue is full; further pauses are not logged",
-          context.channel().remoteAddress());
-    }
+  private void logOverflow() {
+    logger.atInfo().log(
+        "the queue of caller %s is full: the next request is refused, and its connection ends",
+        context.channel().remoteAddress());
   }
 
   private void handleMessage(final HttpObject message, final long receivedMs) {
--- a/src/main/java/org/bulrushweir/relay/CallerPipeline.java
+++ b/src/main/java/org/bulrushweir/relay/CallerPipeline.java
@@ -12,16 +12,20 @@
  * <p>All messages pass through it in the order of their arrival, and {@link #next} is the only way
  * on to the next one: a message that has just arrived can't overtake one that waits.
  *
+ * <p>The connection is always read, as its end could not be seen otherwise. A request for which the
+ * queue has no room is refused in its turn and is the last one of the connection.
+ *
  * @param <M> the type of the messages, which are heads and parts of requests
  */
 public final class CallerPipeline<M> {
 
-  /** The number of waiting messages from which no more should be read. */
-  private static final int MAX_WAITING = 16;
+  /** The number of messages that may wait; a message holds a head or up to 8 KiB of a body. */
+  private static final int MAX_WAITING = 32;
 
   private final Deque<M> waiting = new ArrayDeque<>();
   private Phase phase = Phase.RECEIVING;
   private boolean keepsOpen;
+  private boolean overflowed;
 
   /** What the connection is in the middle of. */
   private enum Phase {
@@ -39,12 +43,22 @@
   public CallerPipeline() {}
 
   /**
-   * Adds a message that has arrived. The caller must drop it instead once the connection closes.
+   * Adds a message that has arrived, unless the queue has or had no room for one, or the connection
+   * closes.
    *
    * @param message the message
+   * @return false if the message must be dropped
    */
-  public void add(final M message) {
+  public boolean add(final M message) {
+    if (isClosing() || overflowed) {
+      return false;
+    }
+    if (waiting.size() == MAX_WAITING) {
+      overflowed = true;
+      return false;
+    }
     waiting.addLast(message);
+    return true;
   }
 
   /**
@@ -57,6 +71,15 @@
     return phase == Phase.RECEIVING ? Optional.ofNullable(waiting.pollFirst()) : Optional.empty();
   }
 
+  /**
+   * Returns whether the request for which the queue had no room must be refused now.
+   *
+   * @return true once all messages before it are handled and all requests before it answered
+   */
+  public boolean isOverflowDue() {
+    return overflowed && phase == Phase.RECEIVING && waiting.isEmpty();
+  }
+
   /**
    * Records that the request being received is complete.
    *
@@ -75,7 +98,7 @@
    */
   public boolean startResponse(final boolean draining) {
     phase = Phase.RESPONDING;
-    keepsOpen = keepsOpen && (!draining || !waiting.isEmpty());
+    keepsOpen = keepsOpen && (!draining || hasWaiting());
     return keepsOpen;
   }
 
@@ -119,16 +142,16 @@
    * @return false if all that arrived is handled
    */
   public boolean hasWaiting() {
-    return !waiting.isEmpty();
+    return !waiting.isEmpty() || overflowed && !isClosing();
   }
 
   /**
-   * Returns whether reading should pause.
+   * Returns whether the queue has had no room for a message.
    *
-   * @return true while the limit of waiting messages is reached
+   * @return true if further messages are dropped
    */
-  public boolean isFull() {
-    return waiting.size() >= MAX_WAITING;
+  public boolean hasOverflowed() {
+    return overflowed;
   }
 
   /**
