One rule for each wait decides whether a request goes on

Callers that had left, or whose deadline was over, had their requests passed on when the gateway had been held up: bytes and close lay unread in the socket, the loop read the request first, counted its time from then, passed it on, and read the close at its next poll.

ForwardingRule is asked after each wait: for the loop, the start gate and an earlier request (GatewayCore.serve), for the prefix and the connection (ExchangeAttempt), so for each retry too. A request goes on only if its caller's connection was read within 250 ms, half of the 500 ms in which work for a caller that left has to end; if not, it goes on after the next poll, which shows the close. What may be unread comes from PollMonitor, on a connection that was just accepted from its accept. All waiting connections are accepted at one poll, as later polls could not tell their age.

RequestHeadTimer notices the start of a head behind a pipelined request, too.

--- a/src/main/java/org/bulrushweir/gateway/CallerConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerConnection.java
@@ -21,6 +21,13 @@
    */
   boolean isOpen();
 
+  /**
+   * Returns since when what the caller has sent, its close included, may be unread.
+   *
+   * @return the time in Unix milliseconds
+   */
+  long unreadSinceMs();
+
   /**
    * Starts the response.
    *
--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -47,6 +47,7 @@
   private final GatewayCore core;
   private final CallerLimits limits;
   private final RequestHeadTimer headTimer;
+  private final UnreadTime unread;
   private ChannelHandlerContext context;
   private ScheduledFuture<?> timer;
   private HttpRequest request;
@@ -56,18 +57,20 @@
   private boolean requestSeen;
   private long openedMs;
   private long lastActivityMs;
-  private long requestReceivedMs;
+  private long requestArrivedMs;
 
   /**
    * Creates the handler of one connection.
    *
    * @param core serves the requests
    * @param headTimer measures how long the head of a request has been incomplete
+   * @param unread tells since when the connection may be unread
    */
-  CallerHandler(final GatewayCore core, final RequestHeadTimer headTimer) {
+  CallerHandler(final GatewayCore core, final RequestHeadTimer headTimer, final UnreadTime unread) {
     this.core = core;
     this.limits = core.limits();
     this.headTimer = headTimer;
+    this.unread = unread;
   }
 
   @Override
@@ -87,7 +90,7 @@
   @Override
   public void channelRead(final ChannelHandlerContext reading, final Object message) {
     final boolean overflowedBefore = pipeline.hasOverflowed();
-    if (!pipeline.add(new Received((HttpObject) message, core.nowMs()))) {
+    if (!pipeline.add(new Received((HttpObject) message, headTimer.requestArrivedMs()))) {
       ReferenceCountUtil.release(message);
       if (!overflowedBefore && pipeline.hasOverflowed()) {
         logOverflow();
@@ -101,7 +104,7 @@
   private void handleNext() {
     Optional<Received> next = pipeline.next();
     while (next.isPresent()) {
-      handleMessage(next.get().message(), next.get().atMs());
+      handleMessage(next.get().message(), next.get().requestArrivedMs());
       next = pipeline.next();
     }
     if (pipeline.isOverflowDue()) {
@@ -115,7 +118,7 @@
         context.channel().remoteAddress());
   }
 
-  private void handleMessage(final HttpObject message, final long receivedMs) {
+  private void handleMessage(final HttpObject message, final long arrivedMs) {
     lastActivityMs = core.nowMs();
     if (message.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
@@ -124,7 +127,7 @@
     }
     if (message instanceof HttpRequest head) {
       requestSeen = true;
-      requestReceivedMs = receivedMs;
+      requestArrivedMs = arrivedMs;
       handleHead(head);
     }
     if (!pipeline.isClosing() && message instanceof HttpContent content) {
@@ -181,7 +184,7 @@
     body = null;
     answersHead = HttpMethod.HEAD.equals(served.method());
     pipeline.startServing(HttpUtil.isKeepAlive(served));
-    core.serve(this, served, servedBody, requestReceivedMs);
+    core.serve(this, served, servedBody, requestArrivedMs);
   }
 
   @Override
@@ -194,6 +197,11 @@
     return context.channel().isActive();
   }
 
+  @Override
+  public long unreadSinceMs() {
+    return unread.sinceMs();
+  }
+
   /**
    * Refuses a request before it was received completely and closes the connection: the end of the
    * request is unknown or not worth waiting for.
@@ -354,7 +362,7 @@
    */
   boolean awaitsAnswer() {
     final boolean responding = exchange != null;
-    return !responding && (pipeline.hasWaiting() || pipeline.isClosing());
+    return !responding && (pipeline.isBusy() || pipeline.hasWaiting() || pipeline.isClosing());
   }
 
   /** Ends the current attempt of the request if its endpoint would crash when it responds. */
@@ -408,7 +416,8 @@
    * A head or part of a request, which may wait for the response to the request before it.
    *
    * @param message the message
-   * @param atMs the time of its arrival, in Unix milliseconds
+   * @param requestArrivedMs the earliest time at which its request may have arrived, in Unix
+   *     milliseconds
    */
-  private record Received(HttpObject message, long atMs) {}
+  private record Received(HttpObject message, long requestArrivedMs) {}
 }
--- a/src/main/java/org/bulrushweir/gateway/CallerRequestDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerRequestDecoder.java
@@ -34,6 +34,15 @@
     throw new IllegalArgumentException("request has both Content-Length and Transfer-Encoding");
   }
 
+  /**
+   * Returns whether bytes have been received that do not make a message yet.
+   *
+   * @return false if all bytes are decoded
+   */
+  boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
+  }
+
   /**
    * Returns whether the length of a request is unambiguous.
    *
--- a/src/main/java/org/bulrushweir/gateway/CallersSocketService.java
+++ b/src/main/java/org/bulrushweir/gateway/CallersSocketService.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import org.bulrushweir.api.Clock;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.settings.SocketAddressSettings;
 
@@ -15,16 +16,19 @@
 public final class CallersSocketService implements KernelService {
 
   /** The number of connections that may wait to be accepted. */
-  private static final int ACCEPT_BACKLOG = 1_024;
+  static final int ACCEPT_BACKLOG = 1_024;
 
   private final ServerSocketChannel channel;
+  private final long boundMs;
 
   /**
    * Opens the socket.
    *
    * @param address the address that callers connect to
+   * @param clock the process's clock
    */
-  public CallersSocketService(final SocketAddressSettings address) {
+  public CallersSocketService(final SocketAddressSettings address, final Clock clock) {
+    boundMs = clock.nowMs();
     try {
       channel = ServerSocketChannel.open();
       channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -43,6 +47,15 @@
     return channel;
   }
 
+  /**
+   * Returns the time since which connections may wait to be accepted.
+   *
+   * @return the time in Unix milliseconds
+   */
+  long boundMs() {
+    return boundMs;
+  }
+
   @Override
   public void start() {
     // The gateway starts to accept connections.
--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -191,13 +191,13 @@
   }
 
   /**
-   * Returns an open connection to the pool, where it is idle from now on, or closes it if it must
-   * not be reused.
+   * Returns a connection to the pool, where it is idle from now on, or closes it if it must not be
+   * reused.
    *
    * @param connection the connection
    */
   void release(final EndpointConnection connection) {
-    if (!reusePolicy.mayReuse(connection.endpoint(), clock.nowMs())) {
+    if (!connection.isOpen() || !reusePolicy.mayReuse(connection.endpoint(), clock.nowMs())) {
       connection.close();
       return;
     }
--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -97,6 +97,10 @@
     return endpoint;
   }
 
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
   boolean isUsable(final long nowMs, final long maxIdleMs) {
     return channel.isActive() && !failed && nowMs - idleSinceMs < Math.min(idleLimitMs, maxIdleMs);
   }
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -83,7 +83,7 @@
   void onCallerDisconnected() {
     callerDisconnected = true;
     handle(new RelayEvent.CallerDisconnected());
-    core.requestFinished(routed, result("left", "the caller closed its connection"));
+    core.requestFinished(routed, result(RequestLog.LEFT, "the caller closed its connection"));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -14,6 +14,7 @@
 import org.bulrushweir.platform.ResponseTranslator;
 import org.bulrushweir.relay.AttemptId;
 import org.bulrushweir.relay.EventStreamFramer;
+import org.bulrushweir.relay.ForwardingRule;
 import org.bulrushweir.relay.RelayEvent;
 import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.relay.ResponseHead;
@@ -158,10 +159,23 @@
     if (finished) {
       return;
     }
+    final ForwardingRule.Verdict verdict = judge();
+    if (verdict == ForwardingRule.Verdict.READ_CALLER) {
+      core.polls().afterNextPoll(this::connect);
+      return;
+    }
+    if (verdict == ForwardingRule.Verdict.TOO_LATE) {
+      owner.handle(new RelayEvent.Tick());
+      return;
+    }
     core.pool()
         .acquire(target, routed.maxConnectionIdleMs(), this::onConnected, this::onConnectFailure);
   }
 
+  private ForwardingRule.Verdict judge() {
+    return core.judge(caller, routed.limits().deadlineMs());
+  }
+
   private void onConnected(final EndpointConnection acquired) {
     if (finished) {
       core.pool().release(acquired);
@@ -173,6 +187,24 @@
       owner.handle(new RelayEvent.NotSent(id, QUARANTINED));
       return;
     }
+    final ForwardingRule.Verdict verdict = judge();
+    if (verdict == ForwardingRule.Verdict.READ_CALLER) {
+      core.polls().afterNextPoll(() -> onConnected(acquired));
+      return;
+    }
+    if (verdict == ForwardingRule.Verdict.TOO_LATE) {
+      core.pool().release(acquired);
+      owner.handle(new RelayEvent.Tick());
+      return;
+    }
+    send(acquired);
+  }
+
+  private void send(final EndpointConnection acquired) {
+    if (!acquired.isOpen()) {
+      connect();
+      return;
+    }
     connection = acquired;
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -19,6 +19,8 @@
 import org.bulrushweir.catalog.Tenant;
 import org.bulrushweir.platform.RequestTranslator;
 import org.bulrushweir.relay.DrainPolicy;
+import org.bulrushweir.relay.ForwardingRule;
+import org.bulrushweir.relay.PollMonitor;
 import org.bulrushweir.relay.RelayLimits;
 import org.bulrushweir.relay.RequestHead;
 import org.bulrushweir.routing.BitMixer;
@@ -72,6 +74,9 @@
 
   private static final long NOT_DRAINING = -1;
 
+  /** Stands for the deadline of a request that has not been matched to its route. */
+  private static final long NO_DEADLINE = Long.MAX_VALUE;
+
   private final Set<CallerHandler> connections = new HashSet<>();
   private final Clock clock;
   private final EventLoop loop;
@@ -82,6 +87,7 @@
   private final CrashDetector crashDetector;
   private final DrainPolicy drainPolicy;
   private final StartGate gate;
+  private final PollMonitor polls;
   private long drainingSinceMs = NOT_DRAINING;
   private boolean exiting;
   private int inFlight;
@@ -98,6 +104,7 @@
    * @param drainPolicy decides which requests are accepted while the process drains
    * @param crashDetector finds out whether endpoints have crashed
    * @param gate delays requests until the store's tables have been read
+   * @param polls the monitor of the event loop's polls
    * @param log counts and logs the outcomes of requests
    */
   GatewayCore(
@@ -109,6 +116,7 @@
       final CrashDetector crashDetector,
       final DrainPolicy drainPolicy,
       final StartGate gate,
+      final PollMonitor polls,
       final RequestLog log) {
     this.clock = clock;
     this.loop = loop;
@@ -118,6 +126,7 @@
     this.crashDetector = crashDetector;
     this.drainPolicy = drainPolicy;
     this.gate = gate;
+    this.polls = polls;
     this.log = log;
   }
 
@@ -241,42 +250,59 @@
     connections.remove(connection);
   }
 
+  PollMonitor polls() {
+    return polls;
+  }
+
+  /**
+   * Decides whether a request goes on after a wait, see {@link ForwardingRule}.
+   *
+   * @param caller the request's caller
+   * @param deadlineMs the request's deadline, in Unix milliseconds
+   * @return the verdict
+   */
+  ForwardingRule.Verdict judge(final CallerConnection caller, final long deadlineMs) {
+    final ForwardingRule.Verdict verdict =
+        ForwardingRule.judge(clock.nowMs(), caller.unreadSinceMs(), deadlineMs);
+    log.recordVerdict(verdict);
+    return verdict;
+  }
+
   /**
-   * Serves a completely received request, after the start gate has opened.
+   * Serves a completely received request, once the start gate is open and its caller is known to be
+   * there.
    *
    * @param caller the connection that the response is written to
    * @param request the request line and headers
    * @param body the request body, empty if there is none
-   * @param receivedMs the time at which its head arrived, in Unix milliseconds; its caller's and
-   *     its route's time limits run from then
+   * @param arrivedMs the earliest time at which it may have arrived, in Unix milliseconds; its
+   *     caller's and its route's time limits run from then
    */
   void serve(
       final CallerConnection caller,
       final HttpRequest request,
       final ByteBuf body,
-      final long receivedMs) {
+      final long arrivedMs) {
     if (gate.isClosed()) {
-      gate.delay(() -> serveUnlessClosed(caller, request, body, receivedMs));
+      gate.delay(() -> serve(caller, request, body, arrivedMs));
       return;
     }
-    serveNow(caller, request, body, receivedMs);
-  }
-
-  private void serveUnlessClosed(
-      final CallerConnection caller,
-      final HttpRequest request,
-      final ByteBuf body,
-      final long receivedMs) {
-    if (caller.isOpen()) {
-      serveNow(caller, request, body, receivedMs);
+    if (!caller.isOpen()) {
+      log.recordLeftBeforeStart(RequestTranslator.head(request).map(RequestHead::id).orElse(""));
+      return;
+    }
+    if (!exiting && judge(caller, NO_DEADLINE) == ForwardingRule.Verdict.READ_CALLER) {
+      polls.afterNextPoll(() -> serve(caller, request, body, arrivedMs));
+      return;
     }
+    serveNow(caller, request, body, arrivedMs);
   }
 
   private void serveNow(
       final CallerConnection caller,
       final HttpRequest request,
       final ByteBuf body,
-      final long receivedMs) {
+      final long arrivedMs) {
     final Optional<RequestHead> head = RequestTranslator.head(request);
     if (head.isEmpty()) {
       refuse(
@@ -322,7 +348,7 @@
       caller.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, QUARANTINE_RETRY_AFTER_MS);
       return;
     }
-    final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant, receivedMs);
+    final RoutedRequest routed = routedRequest(plan, head.get(), route.get(), tenant, arrivedMs);
     planner.recordRequest(routed);
     inFlight++;
     final Exchange exchange = new Exchange(this, caller, routed, request, body);
@@ -356,7 +382,7 @@
       final RequestHead head,
       final Route route,
       final Optional<Tenant> tenant,
-      final long receivedMs) {
+      final long arrivedMs) {
     final boolean stream = route.kind() == RequestKind.STREAM;
     final long callStallTimeoutMs =
         Math.max(MIN_CALL_STALL_TIMEOUT_MS, CALL_STALL_TARGET_MULTIPLE * route.latencyTargetMs());
@@ -365,7 +391,7 @@
             route.retryable(),
             stream && route.resumable(),
             route.maxAttempts(),
-            receivedMs + timeLimitMs(route, head),
+            arrivedMs + timeLimitMs(route, head),
             stream ? FIRST_EVENT_TARGET_MULTIPLE * route.latencyTargetMs() : callStallTimeoutMs,
             stream ? EVENT_STALL_TIMEOUT_MS : callStallTimeoutMs);
     final int routePriority = route.priority();
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -39,6 +39,12 @@
           .help("Times that an endpoint sent bytes that belong to no waiting request, by kind.")
           .labelNames("kind")
           .register(registry());
+  private final Counter heldBack =
+      Counter.builder()
+          .name("bulrushweir_gateway_held_back_total")
+          .help("Times that a request did not go on at once after a wait, by reason.")
+          .labelNames("reason")
+          .register(registry());
   private final Histogram loopDelays =
       Histogram.builder()
           .name("bulrushweir_gateway_loop_delay_seconds")
@@ -119,6 +125,15 @@
     failedAttempts.labelValues(result).inc();
   }
 
+  /**
+   * Counts a request that did not go on at once after a wait.
+   *
+   * @param reason the label value that names the reason
+   */
+  public void recordHeldBack(final String reason) {
+    heldBack.labelValues(reason).inc();
+  }
+
   /**
    * Records a time for which the event loop did not read its sockets.
    *
--- a/src/main/java/org/bulrushweir/gateway/GatewayServers.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayServers.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -53,24 +54,33 @@
     new ServerBootstrap()
         .group(group)
         .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            // All that wait are accepted at one poll: later polls could not tell how long they did.
+            new ServerChannelRecvByteBufAllocator()
+                .maxMessagesPerRead(CallersSocketService.ACCEPT_BACKLOG))
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(final Channel channel) {
-                final RequestHeadTimer headTimer = new RequestHeadTimer(clock);
+                final UnreadTime unread = new UnreadTime(core.polls(), clock);
+                final RequestHeadTimer headTimer = new RequestHeadTimer(clock, unread);
+                final CallerRequestDecoder decoder =
+                    new CallerRequestDecoder(core.limits().maxHeaderBytes());
                 channel
                     .pipeline()
                     .addLast(
-                        headTimer.beforeDecoder(),
-                        new CallerRequestDecoder(core.limits().maxHeaderBytes()),
+                        headTimer.beforeDecoder(decoder),
+                        decoder,
                         headTimer.afterDecoder(),
                         new HttpResponseEncoder(),
-                        new CallerHandler(core, headTimer));
+                        new CallerHandler(core, headTimer, unread));
               }
             })
         .register()
         .syncUninterruptibly();
+    group.next().execute(() -> core.polls().socketAdded(socket.boundMs()));
     return socket.channel().socket().getLocalPort();
   }
 
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -142,6 +142,7 @@
             new CrashDetector(pool, quarantine, clock),
             drainPolicy,
             gate,
+            loops.polls(),
             requestLog);
     final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
     gate.whenTablesRead(registration::start);
--- a/src/main/java/org/bulrushweir/gateway/LoopDelayLog.java
+++ b/src/main/java/org/bulrushweir/gateway/LoopDelayLog.java
@@ -1,15 +1,13 @@
 package org.bulrushweir.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import org.bulrushweir.relay.ForwardingRule;
 
 /** Counts and logs the times for which the event loop did not read its sockets. */
 public final class LoopDelayLog {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The shortest delay that is recorded, in milliseconds: callers notice it. */
-  private static final long MIN_DELAY_MS = 250;
-
   private final GatewayMetrics metrics;
 
   /**
@@ -27,7 +25,7 @@
    * @param delayMs the time in milliseconds
    */
   public void record(final long delayMs) {
-    if (delayMs <= MIN_DELAY_MS) {
+    if (delayMs <= ForwardingRule.MAX_UNREAD_MS) {
       return;
     }
     metrics.recordLoopDelay(delayMs);
--- a/src/main/java/org/bulrushweir/gateway/RequestHeadTimer.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestHeadTimer.java
@@ -7,7 +7,8 @@
 import org.bulrushweir.api.Clock;
 
 /**
- * Measures how long the head of a caller's request has been incomplete.
+ * Measures how long the head of a caller's request has been incomplete, and when its first byte may
+ * have arrived.
  *
  * <p>It consists of one handler before the request decoder, which sees the first bytes of a
  * request, and one behind it, which sees the decoded head.
@@ -15,16 +16,23 @@
 final class RequestHeadTimer {
 
   private final Clock clock;
+  private final UnreadTime unread;
   private boolean betweenRequests = true;
   private long headStartedMs = -1;
+  private long headArrivedMs;
+  private long bytesArrivedMs;
+  private long requestArrivedMs;
 
   /**
    * Creates the shared state of the two handlers.
    *
    * @param clock the process's clock
+   * @param unread tells since when bytes may have waited when they are read
    */
-  RequestHeadTimer(final Clock clock) {
+  RequestHeadTimer(final Clock clock, final UnreadTime unread) {
     this.clock = clock;
+    this.unread = unread;
+    this.requestArrivedMs = clock.nowMs();
   }
 
   boolean isHeadIncomplete() {
@@ -35,23 +43,44 @@
     return headStartedMs;
   }
 
+  /**
+   * Returns the earliest time at which the first byte of the last request whose head was decoded
+   * may have arrived.
+   *
+   * @return the time in Unix milliseconds
+   */
+  long requestArrivedMs() {
+    return requestArrivedMs;
+  }
+
   /**
    * Returns the handler to install before the decoder; it receives bytes.
    *
+   * @param decoder the decoder
    * @return the handler
    */
-  ChannelInboundHandlerAdapter beforeDecoder() {
+  ChannelInboundHandlerAdapter beforeDecoder(final CallerRequestDecoder decoder) {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(final ChannelHandlerContext context, final Object message) {
-        if (betweenRequests && headStartedMs < 0) {
-          headStartedMs = clock.nowMs();
-        }
+        bytesArrivedMs = unread.sinceMs();
+        startHead();
         context.fireChannelRead(message);
+        if (decoder.hasUndecodedBytes()) {
+          startHead();
+        }
       }
     };
   }
 
+  /** Records that the first bytes of a head have been read, unless they were before. */
+  private void startHead() {
+    if (betweenRequests && headStartedMs < 0) {
+      headStartedMs = clock.nowMs();
+      headArrivedMs = bytesArrivedMs;
+    }
+  }
+
   /**
    * Returns the handler to install behind the decoder; it receives decoded messages.
    *
@@ -62,6 +91,7 @@
       @Override
       public void channelRead(final ChannelHandlerContext context, final Object message) {
         if (message instanceof HttpRequest) {
+          requestArrivedMs = headStartedMs < 0 ? bytesArrivedMs : headArrivedMs;
           headStartedMs = -1;
           betweenRequests = false;
         }
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -12,6 +12,7 @@
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.logging.AsyncLogWriter;
+import org.bulrushweir.relay.ForwardingRule;
 import org.bulrushweir.relay.UnexpectedBytes;
 
 /**
@@ -21,6 +22,9 @@
  */
 final class RequestLog {
 
+  /** The outcome of a request whose caller closed its connection first. */
+  static final String LEFT = "left";
+
   private static final long NOT_STARTED = -1;
 
   private final NodeId node;
@@ -70,6 +74,29 @@
         withoutResponse(outcome, detail));
   }
 
+  /**
+   * Records a request whose caller had left before any attempt.
+   *
+   * @param request the request's id, empty if it has none
+   */
+  void recordLeftBeforeStart(final String request) {
+    metrics.recordOutcome("none", LEFT);
+    final RequestLogEntry.Result result =
+        withoutResponse(LEFT, "the caller closed its connection before the first attempt");
+    offer("request", request, "", Optional.empty(), Optional.empty(), result);
+  }
+
+  /**
+   * Counts a request that does not go on at once after a wait.
+   *
+   * @param verdict what happens to it
+   */
+  void recordVerdict(final ForwardingRule.Verdict verdict) {
+    if (verdict != ForwardingRule.Verdict.FORWARD) {
+      metrics.recordHeldBack(verdict.name().toLowerCase(Locale.ROOT));
+    }
+  }
+
   /**
    * Records that the end of the process cuts off a request that was still delayed at its start.
    *
--- a/src/main/java/org/bulrushweir/process/GatewayModule.java
+++ b/src/main/java/org/bulrushweir/process/GatewayModule.java
@@ -46,8 +46,8 @@
   @Provides
   @IntoMap
   @StringKey(ServiceNames.CALLERS_SOCKET)
-  static ServiceFactory callersSocket(final GatewaySettings settings) {
-    return services -> new CallersSocketService(settings.callers());
+  static ServiceFactory callersSocket(final GatewaySettings settings, final Clock clock) {
+    return services -> new CallersSocketService(settings.callers(), clock);
   }
 
   @Provides
--- a/src/main/java/org/bulrushweir/relay/PollMonitor.java
+++ b/src/main/java/org/bulrushweir/relay/PollMonitor.java
@@ -16,6 +16,8 @@
 public final class PollMonitor {
 
   private final Deque<Postponed> postponed = new ArrayDeque<>();
+  private long addedSocketSinceMs;
+  private long addedSocketPoll;
   private boolean polling;
   private boolean waitEnded;
   private long completedPolls;
@@ -35,6 +37,21 @@
     busySinceMs = nowMs;
   }
 
+  /**
+   * Records that a socket is polled from the next poll on.
+   *
+   * @param sinceMs the time since which something may have arrived there, in Unix milliseconds
+   */
+  public void socketAdded(final long sinceMs) {
+    addedSocketSinceMs = sinceMs;
+    addedSocketPoll = nextPoll();
+  }
+
+  /** Returns the number of the next poll to start, counted from one. */
+  private long nextPoll() {
+    return completedPolls + (polling ? 2 : 1);
+  }
+
   /**
    * Records that a poll starts.
    *
@@ -84,7 +101,8 @@
    * @return the time in Unix milliseconds; all that arrived before it has been handled
    */
   public long unreadSinceMs(final long nowMs) {
-    return nowMs - unreadForMs(nowMs);
+    final long sinceMs = nowMs - unreadForMs(nowMs);
+    return completedPolls < addedSocketPoll ? Math.min(addedSocketSinceMs, sinceMs) : sinceMs;
   }
 
   private long unreadForMs(final long nowMs) {
@@ -107,7 +125,7 @@
    * @param task the task, which {@link #pollEnded} returns
    */
   public void afterNextPoll(final Runnable task) {
-    postponed.addLast(new Postponed(completedPolls + (polling ? 2 : 1), task));
+    postponed.addLast(new Postponed(nextPoll(), task));
   }
 
   /**
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -47,7 +47,7 @@
   private final GatewayCore core =
       GatewayCoreFixture.create(
           directory, new EndpointTracker(directory, service -> 0, 1), now::get);
-  private final CallerHandler handler = new CallerHandler(core, new RequestHeadTimer(core::nowMs));
+  private final CallerHandler handler = handler(core);
   private final SlowCaller slowCaller = new SlowCaller();
   private final StartGate gate = new StartGate(EnumSet.of(SharedTable.ENDPOINTS));
 
@@ -79,8 +79,7 @@
 
   @Test
   void pipelinedRequestIsAnsweredBeforeAnIdleConnectionIsClosed() {
-    final CallerHandler pipelined =
-        new CallerHandler(startingCore(), new RequestHeadTimer(now::get));
+    final CallerHandler pipelined = handler(startingCore());
     final EmbeddedChannel channel = new EmbeddedChannel(pipelined);
     channel.writeInbound(request(), request());
     channel
@@ -102,7 +101,12 @@
   }
 
   private EmbeddedChannel connection(final GatewayCore served) {
-    return new EmbeddedChannel(new CallerHandler(served, new RequestHeadTimer(now::get)));
+    return new EmbeddedChannel(handler(served));
+  }
+
+  private CallerHandler handler(final GatewayCore served) {
+    final UnreadTime unread = new UnreadTime(served.polls(), now::get);
+    return new CallerHandler(served, new RequestHeadTimer(now::get, unread), unread);
   }
 
   /** Returns the statuses of the responses, and the ends of connections that they announce. */
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -28,6 +28,7 @@
 import org.bulrushweir.catalog.RoutingPlan;
 import org.bulrushweir.platform.ExampleConfiguration;
 import org.bulrushweir.platform.RoutingPlanDecoder;
+import org.bulrushweir.relay.PollMonitor;
 import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.store.SharedTable;
 
@@ -46,6 +47,7 @@
           .orElseThrow();
 
   private final AtomicLong now = new AtomicLong(START_MS);
+  private final PollMonitor polls = new PollMonitor(START_MS);
   private final EmbeddedChannel timers = new EmbeddedChannel();
   private final ConnectionPool pool =
       new ConnectionPool(timers.eventLoop(), now::get, (endpoint, request, kind) -> {});
@@ -74,15 +76,18 @@
             plan,
             timers.eventLoop(),
             pool,
+            polls,
             log);
-    final RequestHeadTimer headTimer = new RequestHeadTimer(now::get);
+    final UnreadTime unread = new UnreadTime(polls, now::get);
+    final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
+    final CallerRequestDecoder decoder = new CallerRequestDecoder(core.limits().maxHeaderBytes());
     caller =
         new EmbeddedChannel(
-            headTimer.beforeDecoder(),
-            new CallerRequestDecoder(core.limits().maxHeaderBytes()),
+            headTimer.beforeDecoder(decoder),
+            decoder,
             headTimer.afterDecoder(),
             new HttpResponseEncoder(),
-            new CallerHandler(core, headTimer));
+            new CallerHandler(core, headTimer, unread));
   }
 
   /**
@@ -165,6 +170,7 @@
   Optional<Arrival> advance(final long ms) {
     for (long passed = 0; passed < ms; passed += STEP_MS) {
       now.addAndGet(STEP_MS);
+      poll();
       timers.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS);
       timers.runScheduledPendingTasks();
       final Optional<Arrival> arrival = nextRequest();
@@ -175,6 +181,12 @@
     return Optional.empty();
   }
 
+  /** Polls the sockets: nothing has arrived there that was not received before. */
+  private void poll() {
+    polls.pollStarted(now.get(), 0);
+    polls.pollEnded(now.get()).forEach(Runnable::run);
+  }
+
   /** Returns all bytes that the caller has received. */
   String received() {
     caller.runPendingTasks();
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -17,6 +17,7 @@
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
+import org.bulrushweir.relay.PollMonitor;
 import org.bulrushweir.settings.SocketAddressSettings;
 import org.bulrushweir.store.SharedTable;
 
@@ -61,7 +62,15 @@
     final AsyncLogWriter writer =
         new AsyncLogWriter(new PrintStream(OutputStream.nullOutputStream()), 10);
     return create(
-        directory, tracker, clock, gate, new ActivePlan(), null, null, requestLog(writer));
+        directory,
+        tracker,
+        clock,
+        gate,
+        new ActivePlan(),
+        null,
+        null,
+        new PollMonitor(clock.nowMs()),
+        requestLog(writer));
   }
 
   /** Creates the core with a plan, an event loop and connections to endpoints. */
@@ -73,6 +82,7 @@
       final ActivePlan activePlan,
       final EventLoop loop,
       final ConnectionPool pool,
+      final PollMonitor polls,
       final RequestLog log) {
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
     final PromptQuarantine quarantine = new PromptQuarantine();
@@ -97,6 +107,7 @@
         new CrashDetector(pool, quarantine, clock),
         new DrainPolicy(1_000),
         gate,
+        polls,
         log);
   }
 }
--- a/src/test/java/org/bulrushweir/gateway/LeavingCaller.java
+++ b/src/test/java/org/bulrushweir/gateway/LeavingCaller.java
@@ -10,10 +10,10 @@
 import org.bulrushweir.platform.EndpointSide;
 
 /** A caller that sends its request in random parts, and may leave before it is answered. */
-final class LeavingCaller {
+public final class LeavingCaller {
 
   /** What ends a caller's interest in its request. */
-  enum Ending {
+  public enum Ending {
     /** It closes its connection. */
     CLOSE,
     /** It resets its connection. */
--- a/src/test/java/org/bulrushweir/gateway/LeftCallerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/LeftCallerTest.java
@@ -34,12 +34,9 @@
   /** How long the event loop is held up, in milliseconds. */
   private static final long HOLD_MS = 1_000;
 
-  /** The time from the start of a hold-up in which callers send and leave, in milliseconds. */
+  /** The time within which callers leave after the start of a hold-up, in milliseconds. */
   private static final int LEAVE_WITHIN_MS = 200;
 
-  /** The time after which nothing may happen for a caller that has left, in milliseconds. */
-  private static final long LEFT_BOUND_MS = 500;
-
   private static final int CALLERS = 40;
   private static final int ROUNDS = 2;
   private static final int WORK_MS = 3_000;
@@ -99,13 +96,6 @@
     return status;
   }
 
-  private long arrivedMs(final String id) {
-    return endpoints.stream()
-        .map(endpoint -> endpoint.arrivedMs().getOrDefault(id, 0L))
-        .max(Long::compare)
-        .orElse(0L);
-  }
-
   private void holdLoop(final long ms) {
     fleet.loop(0).execute(() -> sleep(ms));
   }
@@ -127,28 +117,18 @@
     final List<String> late = new ArrayList<>();
     final List<String> wrong = new ArrayList<>();
     for (int round = 0; round < ROUNDS; round++) {
-      final List<LeavingCaller> callers = new ArrayList<>();
-      if (opensBefore) {
-        addCallers(callers, random, round);
-        Thread.sleep(random.nextInt(POLL_MS));
-      }
-      holdLoop(HOLD_MS);
       if (!opensBefore) {
-        addCallers(callers, random, round);
-      }
-      final List<Thread> threads = new ArrayList<>();
-      for (final LeavingCaller caller : callers) {
-        final int pauseMs = random.nextInt(LEAVE_WITHIN_MS / 2);
-        final int deadlineMs = 1 + random.nextInt(LEAVE_WITHIN_MS / 4);
-        threads.add(Thread.ofVirtual().start(() -> send(caller, pauseMs, deadlineMs)));
+        holdLoop(HOLD_MS);
       }
-      for (final Thread thread : threads) {
-        thread.join();
-      }
-      wrong.addAll(wrongAnswers(callers));
-      callers.stream().filter(this::isLate).map(LeavingCaller::id).forEach(late::add);
-      for (final LeavingCaller caller : callers) {
-        caller.close();
+      try (LeavingCallers callers =
+          new LeavingCallers(callersPort, "left-" + round, CALLERS, random)) {
+        if (opensBefore) {
+          sleep(random.nextInt(POLL_MS));
+          holdLoop(HOLD_MS);
+        }
+        callers.sendAndLeave();
+        wrong.addAll(callers.wrongAnswers());
+        late.addAll(callers.late(endpoints));
       }
     }
     assertAll(
@@ -185,7 +165,9 @@
     sleep(2 * HOLD_MS);
     final List<String> late =
         callers.stream()
-            .filter(caller -> isLate(caller) || isLate(behind(caller), caller.leftMs()))
+            .filter(
+                caller ->
+                    isLate(caller.id(), caller.leftMs()) || isLate(behind(caller), caller.leftMs()))
             .map(LeavingCaller::id)
             .toList();
     assertEquals(List.of(), late, "requests passed on after their callers had left");
@@ -195,50 +177,9 @@
     return caller.id() + "-second";
   }
 
-  private void addCallers(final List<LeavingCaller> callers, final Random random, final int round)
-      throws IOException {
-    for (int number = 0; number < CALLERS; number++) {
-      final String id = "left-" + round + "-" + number;
-      callers.add(
-          new LeavingCaller(
-              callersPort,
-              random.nextBoolean() ? DemoCall.lookup(id) : DemoCall.booking(id),
-              Ending.values()[random.nextInt(Ending.values().length)],
-              new Random(random.nextLong())));
-    }
-  }
-
-  private static void send(final LeavingCaller caller, final long pauseMs, final long deadlineMs) {
-    sleep(pauseMs);
-    try {
-      caller.sendAndLeave(deadlineMs);
-    } catch (IOException | InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  /** Callers that wait must be served; those whose deadline has passed are told "not run". */
-  private static List<String> wrongAnswers(final List<LeavingCaller> callers) throws IOException {
-    final List<String> wrong = new ArrayList<>();
-    for (final LeavingCaller caller : callers) {
-      if (caller.ending() != Ending.NONE && caller.ending() != Ending.DEADLINE) {
-        continue;
-      }
-      final String expected = caller.ending() == Ending.NONE ? "200" : "503";
-      final String status = caller.readStatus(ANSWER_MS);
-      if (!expected.equals(status)) {
-        wrong.add(caller.id() + ": " + status + " instead of " + expected);
-      }
-    }
-    return wrong;
-  }
-
-  private boolean isLate(final LeavingCaller caller) {
-    return caller.leftMs() > 0 && isLate(caller.id(), caller.leftMs());
-  }
-
   private boolean isLate(final String id, final long leftMs) {
-    return arrivedMs(id) > leftMs + LEFT_BOUND_MS;
+    return endpoints.stream()
+        .anyMatch(endpoint -> endpoint.isLate(id, leftMs + LeavingCallers.LEFT_BOUND_MS));
   }
 
   /** Guards against work for a caller whose close is not read while its queue is full (GONE). */
@@ -265,16 +206,18 @@
     for (final LeavingCaller caller : callers) {
       caller.leave();
     }
-    Thread.sleep(LEFT_BOUND_MS);
+    Thread.sleep(LeavingCallers.LEFT_BOUND_MS);
     final List<String> atWork =
         callers.stream().map(LeavingCaller::id).filter(this::isAtWork).toList();
     assertEquals(List.of(), atWork, "requests at work 0.5 s after their callers had left");
-    assertTrue(
-        callers.stream().allMatch(caller -> arrivedMs(caller.id()) > 0), "all must be passed on");
+    assertTrue(callers.stream().allMatch(this::isPassedOn), "all must be passed on");
+  }
+
+  private boolean isPassedOn(final LeavingCaller caller) {
+    return endpoints.stream().anyMatch(endpoint -> endpoint.hasReceived(caller.id()));
   }
 
   private boolean isAtWork(final String id) {
-    return endpoints.stream()
-        .anyMatch(endpoint -> endpoint.arrivedMs().containsKey(id) && endpoint.endedMs(id) < 0);
+    return endpoints.stream().anyMatch(endpoint -> endpoint.isAtWork(id));
   }
 }
--- a/src/test/java/org/bulrushweir/gateway/TimedOrders.java
+++ b/src/test/java/org/bulrushweir/gateway/TimedOrders.java
@@ -8,9 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** An endpoint of the order service that records when requests arrive and how long it works. */
-final class TimedOrders implements AutoCloseable {
-
-  private static final long NOT_ENDED = -1;
+public final class TimedOrders implements AutoCloseable {
 
   private final Map<String, Long> arrivedMs = new ConcurrentHashMap<>();
   private final Map<String, Long> endedMs = new ConcurrentHashMap<>();
@@ -24,28 +22,39 @@
    * Starts an endpoint.
    *
    * @param keepsOpen whether it keeps its connections open after a response
+   * @throws IOException if no port can be bound
    */
-  TimedOrders(final boolean keepsOpen) throws IOException {
+  public TimedOrders(final boolean keepsOpen) throws IOException {
     this.keepsOpen = keepsOpen;
     this.server = new RawServer(this::serve);
   }
 
-  int port() {
+  /**
+   * Returns the port that it listens on.
+   *
+   * @return the port on loopback
+   */
+  public int port() {
     return server.port();
   }
 
-  void work(final int ms) {
-    workMs = ms;
+  /** Returns whether a request arrived after a time, in Unix milliseconds. */
+  boolean isLate(final String request, final long boundMs) {
+    return arrivedMs.getOrDefault(request, 0L) > boundMs;
+  }
+
+  /** Returns whether a request has arrived and the work on it has not ended. */
+  boolean isAtWork(final String request) {
+    return arrivedMs.containsKey(request) && !endedMs.containsKey(request);
   }
 
-  /** Returns when each request arrived, in Unix milliseconds. */
-  Map<String, Long> arrivedMs() {
-    return arrivedMs;
+  void work(final int ms) {
+    workMs = ms;
   }
 
-  /** Returns when the work on a request ended, negative if it has not. */
-  long endedMs(final String request) {
-    return endedMs.getOrDefault(request, NOT_ENDED);
+  /** Returns whether a request has arrived. */
+  boolean hasReceived(final String request) {
+    return arrivedMs.containsKey(request);
   }
 
   private void serve(final Socket socket) throws IOException {
--- a/src/test/java/org/bulrushweir/process/DeployedGateway.java
+++ b/src/test/java/org/bulrushweir/process/DeployedGateway.java
@@ -27,7 +27,20 @@
    * @throws Exception if it can't be started
    */
   DeployedGateway(final Path directory, final int platformPort) throws Exception {
-    callersPort = FreePort.find();
+    this(directory, platformPort, FreePort.find());
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @param directory for its settings and log
+   * @param platformPort the port of the platform
+   * @param callersPort the port for callers
+   * @throws Exception if it can't be started
+   */
+  DeployedGateway(final Path directory, final int platformPort, final int callersPort)
+      throws Exception {
+    this.callersPort = callersPort;
     final Path settings =
         Files.writeString(
             directory.resolve("gateway.toml"),
@@ -75,6 +88,15 @@
     return callersPort;
   }
 
+  /**
+   * Sends a signal to the process.
+   *
+   * @param name the signal's name
+   */
+  void signal(final String name) {
+    process.signal(name);
+  }
+
   /**
    * Returns the largest amount of memory that the process has used.
    *
