--- a/src/main/java/org/bulrushweir/gateway/GatewayServers.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayServers.java
@@ -1,6 +1,7 @@
 package org.bulrushweir.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -20,6 +21,9 @@
   /** The largest request for readiness or metrics, in bytes. */
   private static final int MAX_STATUS_BYTES = 4_096;
 
+  /** How often a caller's connection is read at a poll, up to 64 KiB each. */
+  private static final int MAX_READS_PER_POLL = 128;
+
   private final EventLoopGroup group;
   private final GatewayCore core;
   private final GatewayMetrics metrics;
@@ -60,6 +64,12 @@
             new ServerChannelRecvByteBufAllocator()
                 .maxMessagesPerRead(CallersSocketService.ACCEPT_BACKLOG))
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            // A poll reads a connection to its end: bytes must not hide the close behind them.
+            new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAX_READS_PER_POLL))
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
