The last part of a long body waits for the rule, too

A body longer than the socket's send buffer waits in the gateway until its endpoint takes it.

The last KiB of such a body is held back until all before it is taken; ForwardingRule then decides. A response that comes before it ends the connection, which would otherwise miss the rest of the body.

--- a/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
+++ b/src/main/java/org/bulrushweir/gateway/ConnectionPool.java
@@ -30,16 +30,16 @@
 final class ConnectionPool {
 
   /**
-   * The time limit for opening a connection, in milliseconds: several round trips between
-   * availability zones plus the endpoint's time to accept.
+   * The size of a connection's socket send buffer, in bytes; it bounds the bytes that the operating
+   * system holds for a slow endpoint.
    */
-  private static final int CONNECT_TIMEOUT_MS = 400;
+  static final int SEND_BUFFER_BYTES = 65_536;
 
   /**
-   * The size of a connection's socket send buffer, in bytes; it bounds the bytes that the operating
-   * system holds for a slow endpoint.
+   * The time limit for opening a connection, in milliseconds: several round trips between
+   * availability zones plus the endpoint's time to accept.
    */
-  private static final int SEND_BUFFER_BYTES = 65_536;
+  private static final int CONNECT_TIMEOUT_MS = 400;
 
   private final Map<EndpointRecord, Deque<EndpointConnection>> idleConnections = new HashMap<>();
   private final ConnectionReusePolicy reusePolicy = new ConnectionReusePolicy();
--- a/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointConnection.java
@@ -2,8 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -40,6 +44,12 @@
    */
   private static final double KEEP_ALIVE_TIMEOUT_SHARE = 0.5;
 
+  /**
+   * The size of the last part of a long body, in bytes. It is written once the endpoint has taken
+   * all before it, which may be long after the caller has left.
+   */
+  private static final int LAST_PART_BYTES = 1_024;
+
   /** The number of responses that are skipped while one request waits. */
   private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -54,6 +64,7 @@
   private final ConnectionPool pool;
   private Channel channel;
   private ResponseListener listener;
+  private ByteBuf lastPart;
   private String requestId = "";
   private boolean reused;
   private ResponseBodyCheck body;
@@ -106,7 +117,8 @@
   }
 
   /**
-   * Sends a request.
+   * Sends a request. If its body is longer than the send buffer of the socket, the last part is
+   * held back until {@link #sendLastPart}.
    *
    * @param request the request
    * @param id the caller's id of the request, which the response echoes
@@ -121,8 +133,36 @@
     skippedResponses = 0;
     skippedBytes = 0;
     decoder.method(request.method());
-    channel
-        .writeAndFlush(request)
+    lastPart = null;
+    final ByteBuf content = request.content();
+    if (content.readableBytes() <= ConnectionPool.SEND_BUFFER_BYTES) {
+      write(request);
+      return;
+    }
+    final ByteBuf first = content.readSlice(content.readableBytes() - LAST_PART_BYTES);
+    lastPart = content;
+    channel.write(
+        new DefaultHttpRequest(
+            request.protocolVersion(), request.method(), request.uri(), request.headers()));
+    write(new DefaultHttpContent(first.retain()))
+        .addListener(
+            sent -> {
+              if (sent.isSuccess() && listener == responseListener && lastPart != null) {
+                listener.onBodyTaken();
+              }
+            });
+  }
+
+  /** Sends the last part of a body, after {@link ResponseListener#onBodyTaken}. */
+  void sendLastPart() {
+    final ByteBuf content = lastPart;
+    lastPart = null;
+    write(new DefaultLastHttpContent(content));
+  }
+
+  private ChannelFuture write(final HttpObject message) {
+    return channel
+        .writeAndFlush(message)
         .addListener(
             sent -> {
               if (!sent.isSuccess()) {
@@ -303,7 +343,7 @@
   private void complete() {
     final ResponseListener responseListener = listener;
     listener = null;
-    if (keepAlive && channel.isActive() && !decoder.hasFollowing()) {
+    if (keepAlive && lastPart == null && channel.isActive() && !decoder.hasFollowing()) {
       setAutoRead(true);
       pool.release(this);
     } else {
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -322,6 +322,23 @@
         : AttemptOutcome.FAILED;
   }
 
+  @Override
+  public void onBodyTaken() {
+    if (finished) {
+      return;
+    }
+    final ForwardingRule.Verdict verdict = judge();
+    if (verdict == ForwardingRule.Verdict.READ_CALLER) {
+      core.polls().afterNextPoll(this::onBodyTaken);
+      return;
+    }
+    if (verdict == ForwardingRule.Verdict.TOO_LATE) {
+      owner.handle(new RelayEvent.Tick());
+      return;
+    }
+    connection.sendLastPart();
+  }
+
   @Override
   public void onHead(final HttpResponse received, final ResponseFraming framing) {
     response = received;
--- a/src/main/java/org/bulrushweir/gateway/ResponseListener.java
+++ b/src/main/java/org/bulrushweir/gateway/ResponseListener.java
@@ -7,6 +7,9 @@
 /** Receives an endpoint's response to a request. */
 interface ResponseListener {
 
+  /** Handles that the endpoint has taken the body but for its last part, which is held back. */
+  void onBodyTaken();
+
   /**
    * Handles the status line and headers.
    *
--- a/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EndpointConnectionTest.java
@@ -88,6 +88,9 @@
     private boolean ended;
     private boolean broken;
 
+    @Override
+    public void onBodyTaken() {}
+
     @Override
     public void onHead(final HttpResponse response, final ResponseFraming framing) {
       head = response;
--- a/src/test/java/org/bulrushweir/gateway/LeavingCaller.java
+++ b/src/test/java/org/bulrushweir/gateway/LeavingCaller.java
@@ -114,6 +114,11 @@
     send(text.substring(sent));
   }
 
+  /** Sends the request at once. */
+  void sendWhole(final long deadlineMs) throws IOException {
+    send(text(call, deadlineMs));
+  }
+
   /** Sends text as it is. */
   void send(final String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
--- a/src/test/java/org/bulrushweir/gateway/LeavingCallers.java
+++ b/src/test/java/org/bulrushweir/gateway/LeavingCallers.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.bulrushweir.demo.DemoCall;
 import org.bulrushweir.gateway.LeavingCaller.Ending;
+import org.bulrushweir.platform.ExampleConfiguration;
 
 /** Callers of one gateway that send requests at once, of whom most leave soon after. */
 public final class LeavingCallers implements AutoCloseable {
@@ -48,6 +49,15 @@
     }
   }
 
+  /**
+   * Returns a configuration whose routes allow more time than a hold-up and a busy machine take.
+   *
+   * @return the configuration as the platform keeps it
+   */
+  public static String patientConfiguration() {
+    return ExampleConfiguration.text(2).replaceAll("\"timeout_ms\": \\d+", "\"timeout_ms\": 8000");
+  }
+
   /**
    * Sends all requests; returns when all callers that leave have left.
    *
