--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -132,15 +132,16 @@
             retryBudget,
             quarantine,
             loop);
+    final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
             clock,
             loop,
             activePlan,
-            planner(directory, tracker, retryBudget),
+            planner,
             pool,
             new CrashDetector(pool, quarantine, clock),
-            drainPolicy,
+            new RequestAdmission(clock, activePlan, planner, drainPolicy),
             gate,
             loops.polls(),
             requestLog);
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -98,14 +98,16 @@
             null);
     final EndpointSelector selector =
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
+    final AttemptPlanner planner =
+        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh, quarantine);
     return new GatewayCore(
         clock,
         loop,
         activePlan,
-        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh, quarantine),
+        planner,
         pool,
         new CrashDetector(pool, quarantine, clock),
-        new DrainPolicy(1_000),
+        new RequestAdmission(clock, activePlan, planner, new DrainPolicy(1_000)),
         gate,
         polls,
         log);
