A configuration whose tenants are null requires keys

What callers could see: with "tenants": null every route was open, since the decoder took a null for a missing field. Cause: JsonReader.has is false for null. RoutingPlanDecoderTest.configurationWithTenantsRequiresKeysWhateverTheyHold failed for null before the change and passes now.

--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -89,6 +89,16 @@
     return node.hasNonNull(field);
   }
 
+  /**
+   * Returns whether the object names a field, whatever its value.
+   *
+   * @param field the field
+   * @return true also if the value is null
+   */
+  boolean names(final String field) {
+    return node.has(field);
+  }
+
   boolean isObject() {
     return node.isObject();
   }
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -58,7 +58,7 @@
             root.integer("version"),
             routes(root),
             services(root),
-            root.has(TENANTS),
+            root.names(TENANTS),
             tenants(root),
             root.has("limits") ? limits(root.child("limits")) : CallerLimits.DEFAULT));
   }
--- a/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -63,7 +63,9 @@
             "[{\"name\": \"an invalid name\", \"api_keys\": [\"k\"]}]",
             "[7]",
             "[]",
-            "{}")) {
+            "{}",
+            "null",
+            "false")) {
       assertTrue(decodeTenants(", \"tenants\": " + tenants).requiresApiKeys(), tenants);
     }
     assertFalse(decodeTenants("").requiresApiKeys());
