Interfaces for decisions under load: filters, room, report sections

Registrations carry how long an endpoint stays cold, the plan how many requests a second it bears then. Nothing decides by them yet: no behaviour changes.

--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -97,7 +97,7 @@
       final long draw,
       final Set<EndpointId> excluded,
       final long nowMs) {
-    final List<EndpointState> candidates = tracker.candidates(service);
+    final List<EndpointState> candidates = tracker.candidates(service, nowMs);
     final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
     if (prompt.isEmpty()) {
       return best(candidates, excluded, state -> callCost(state, draw, nowMs), ejection, nowMs);
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -65,6 +65,7 @@
   private final EndpointDirectory directory;
   private final KvCapacity kvCapacity;
   private final double prefillTokensPerMs;
+  private final EndpointFilter filter;
   private long seenChangeCount = -1;
   private long unreportedPrefillTokens;
 
@@ -79,9 +80,26 @@
       final EndpointDirectory directory,
       final KvCapacity kvCapacity,
       final double prefillTokensPerMs) {
+    this(directory, kvCapacity, prefillTokensPerMs, (endpoint, nowMs) -> true);
+  }
+
+  /**
+   * Creates a tracker without any load.
+   *
+   * @param directory the directory of the registered endpoints
+   * @param kvCapacity the KV cache capacity of the engines of each service
+   * @param prefillTokensPerMs the prefill speed of an engine, in tokens per millisecond
+   * @param filter decides which of the registered endpoints may get new requests
+   */
+  public EndpointTracker(
+      final EndpointDirectory directory,
+      final KvCapacity kvCapacity,
+      final double prefillTokensPerMs,
+      final EndpointFilter filter) {
     this.directory = directory;
     this.kvCapacity = kvCapacity;
     this.prefillTokensPerMs = prefillTokensPerMs;
+    this.filter = filter;
   }
 
   /** Supplies the KV cache capacity of the engines of a service. */
@@ -129,19 +147,57 @@
    * Returns the states of the endpoints of a service that accept new requests.
    *
    * @param service the service
-   * @return the states of the endpoints that are not draining, empty if there are none
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the states of the endpoints that neither drain nor are filtered out, empty if there are
+   *     none
    */
-  List<EndpointState> candidates(final ServiceName service) {
+  List<EndpointState> candidates(final ServiceName service, final long nowMs) {
     refresh();
     final List<EndpointState> candidates = new ArrayList<>();
     for (final EndpointRecord entry : directory.endpoints(service)) {
-      if (!entry.draining()) {
+      if (!entry.draining() && filter.accepts(entry, nowMs)) {
         candidates.add(states.get(entry.id()));
       }
     }
     return candidates;
   }
 
+  /**
+   * Returns whether an endpoint may get a request now.
+   *
+   * @param endpoint the endpoint as it was registered when it was selected
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false if this run of it has ended, drains or is filtered out
+   */
+  public boolean accepts(final EndpointRecord endpoint, final long nowMs) {
+    return directory
+        .find(endpoint.id())
+        .filter(current -> current.isSameRun(endpoint) && !current.draining())
+        .filter(current -> filter.accepts(current, nowMs))
+        .isPresent();
+  }
+
+  /**
+   * Returns how much room the endpoints of a service have.
+   *
+   * @param service the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the room of the endpoints that accept new requests from this gateway
+   */
+  public ServiceRoom room(final ServiceName service, final long nowMs) {
+    int endpoints = 0;
+    int places = 0;
+    int inFlight = 0;
+    for (final EndpointState state : candidates(service, nowMs)) {
+      if (state.health().heldOffForMs(nowMs) == 0) {
+        endpoints++;
+        places += state.entry().slots();
+        inFlight += state.inFlight(nowMs);
+      }
+    }
+    return new ServiceRoom(endpoints, places, inFlight);
+  }
+
   /**
    * Returns the longest prefix of a prompt that any engine of a service has in its cache. Draining
    * engines count, as they can still transfer their cache. Call {@link #candidates} first, which
@@ -219,7 +275,7 @@
     final PlacementSnapshot snapshot =
         new PlacementSnapshot(
             state.inFlight(nowMs),
-            meanInFlight(candidates(state.entry().service()), nowMs),
+            meanInFlight(candidates(state.entry().service(), nowMs), nowMs),
             total,
             cached,
             Math.max(0, tokensAtSource - cached),
@@ -366,7 +422,7 @@
    * @return the time from now in milliseconds, zero if one takes requests or none is listed
    */
   public long heldOffForMs(final ServiceName service, final long nowMs) {
-    return candidates(service).stream()
+    return candidates(service, nowMs).stream()
         .mapToLong(state -> state.health().heldOffForMs(nowMs))
         .min()
         .orElse(0);
--- a/src/main/java/org/bulrushweir/catalog/ServicePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ServicePlan.java
@@ -10,6 +10,11 @@
  *     clients together
  * @param engine whether its endpoints are model engines
  * @param kvCapacityTokens the capacity of an engine's KV cache in tokens, zero if unknown
+ * @param coldPerSecond the requests per second that a cold endpoint bears, zero for no limit
  */
 public record ServicePlan(
-    ServiceName name, int maxConnections, boolean engine, long kvCapacityTokens) {}
+    ServiceName name,
+    int maxConnections,
+    boolean engine,
+    long kvCapacityTokens,
+    double coldPerSecond) {}
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -131,7 +131,8 @@
             activePlan,
             retryBudget,
             quarantine,
-            loop);
+            loop,
+            List.of());
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -64,6 +64,7 @@
   private final RetryBudget retryBudget;
   private final PromptQuarantine quarantine;
   private final EventLoop loop;
+  private final List<ReportSection> sections;
   private final long incarnation;
   private DatagramTransport transport;
   private long sequence;
@@ -81,6 +82,7 @@
    * @param retryBudget the retry budget, which is divided by the number of gateways
    * @param quarantine the prompt segments that are kept away from engines
    * @param loop the event loop
+   * @param sections further parts of the reports
    */
   PeerMesh(
       final NodeId self,
@@ -90,7 +92,8 @@
       final ActivePlan activePlan,
       final RetryBudget retryBudget,
       final PromptQuarantine quarantine,
-      final EventLoop loop) {
+      final EventLoop loop,
+      final List<ReportSection> sections) {
     this.self = self;
     this.address = address;
     this.clock = clock;
@@ -99,6 +102,7 @@
     this.retryBudget = retryBudget;
     this.quarantine = quarantine;
     this.loop = loop;
+    this.sections = List.copyOf(sections);
     this.incarnation = System.nanoTime() ^ clock.nowMs();
   }
 
@@ -186,6 +190,7 @@
     activePlan.recordPeerVersion(report.planVersion(), clock.nowMs());
     tracker.applyPeerReport(report, clock.nowMs());
     quarantine.applyReport(PeerReportCodec.decodeQuarantine(message), clock.nowMs());
+    sections.forEach(section -> section.read(report.node(), message, clock.nowMs()));
     updateGatewayCount();
   }
 
@@ -219,10 +224,11 @@
             activePlan.current().map(RoutingPlan::version).orElse(0L),
             tracker.ownLoads(),
             tracker.drainPlacements());
-    final byte[] datagram =
+    final RouterReport.Builder message =
         PeerReportCodec.encode(
-                report, quarantine.report(lastSentMs), address.host(), address.port(), leaving)
-            .toByteArray();
+            report, quarantine.report(lastSentMs), address.host(), address.port(), leaving);
+    sections.forEach(section -> section.write(message, lastSentMs));
+    final byte[] datagram = message.build().toByteArray();
     final long nowMs = clock.nowMs();
     for (final Peer peer : peers.values()) {
       if (nowMs - peer.lastReportMs <= ACTIVE_PEER_MS
--- a/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
@@ -35,7 +35,7 @@
    * @param leaving whether the sender is about to stop
    * @return the message
    */
-  static RouterReport encode(
+  static RouterReport.Builder encode(
       final PeerReport report,
       final QuarantineReport quarantine,
       final String host,
@@ -79,7 +79,7 @@
     }
     quarantine.answered().forEach(segment -> message.addAnswered(encode(segment)));
     quarantine.quarantined().forEach(segment -> message.addQuarantined(encode(segment)));
-    return message.build();
+    return message;
   }
 
   private static ReportedSegment encode(final SegmentAge segment) {
--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -13,6 +13,10 @@
 
   private static final String READY = "ready";
   private static final String DRAINING = "draining";
+  private static final String COLD_REMAINING = "cold_remaining_ms";
+
+  /** The longest time for which an endpoint counts as cold, in milliseconds: ten minutes. */
+  private static final long MAX_COLD_MS = 600_000;
 
   /** The end of the year 9999, in Unix milliseconds. A later start is no time. */
   private static final long MAX_START_MS = 253_402_300_799_999L;
@@ -59,7 +63,15 @@
             zone.get(),
             slots,
             state.equals(DRAINING),
-            startedAtMs));
+            startedAtMs,
+            coldForMs(reader)));
+  }
+
+  /** Reads how long the endpoint stays cold; what is no such time counts as warm. */
+  private static long coldForMs(final JsonReader reader) {
+    return reader.has(COLD_REMAINING)
+        ? Math.clamp(reader.integer(COLD_REMAINING), 0, MAX_COLD_MS)
+        : 0;
   }
 
   private static Optional<EndpointId> id(final String key, final JsonReader reader) {
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -132,9 +132,12 @@
       final boolean engine = reader.has("engine");
       final long tokens = engine ? reader.child("engine").integer("kv_capacity_tokens", 0) : 0;
       final int connections = (int) reader.integer("max_connections", Integer.MAX_VALUE);
+      final double coldPerSecond = Math.max(0, reader.integer("cold_per_s", 0));
       reader
           .value("name", ServiceName::new)
-          .ifPresent(name -> services.add(new ServicePlan(name, connections, engine, tokens)));
+          .ifPresent(
+              name ->
+                  services.add(new ServicePlan(name, connections, engine, tokens, coldPerSecond)));
     }
     return services;
   }
--- a/src/test/java/org/bulrushweir/balancing/EjectionPolicyTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EjectionPolicyTest.java
@@ -28,12 +28,14 @@
   private final EndpointTracker tracker = routers.trackers.getFirst();
 
   private EjectionPolicy policy(final long nowMs) {
-    return new EjectionPolicy(tracker.candidates(SimulatedRouters.SERVICE), nowMs);
+    return new EjectionPolicy(tracker.candidates(SimulatedRouters.SERVICE, nowMs), nowMs);
   }
 
   private long avoided(final long nowMs) {
     final EjectionPolicy policy = policy(nowMs);
-    return tracker.candidates(SimulatedRouters.SERVICE).stream().filter(policy::avoids).count();
+    return tracker.candidates(SimulatedRouters.SERVICE, nowMs).stream()
+        .filter(policy::avoids)
+        .count();
   }
 
   private void fail(final int endpoint, final AttemptOutcome outcome) {
--- a/src/test/java/org/bulrushweir/balancing/EndpointTrackerTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EndpointTrackerTest.java
@@ -63,7 +63,7 @@
     routers.add(1, false, SimulatedRouters.STARTED_AT_MS + 1);
     assertEquals(0, tracker.recordAttempt(E1, chat(3), Optional.empty(), 1).cachedTokens());
     assertEquals(1, tracker.inFlight(E1, 1));
-    assertFalse(tracker.candidates(SimulatedRouters.SERVICE).getFirst().isSuspect(1));
+    assertFalse(tracker.candidates(SimulatedRouters.SERVICE, 0).getFirst().isSuspect(1));
   }
 
   /** Attempts that break when their endpoint restarts must not count against its new run. */
@@ -79,7 +79,7 @@
     }
     assertEquals(1, tracker.inFlight(E1, 3));
     assertEquals(Map.of(E1, new PeerLoad(1, now.prefillTokens())), tracker.ownLoads());
-    assertFalse(tracker.candidates(SimulatedRouters.SERVICE).getFirst().isSuspect(3));
+    assertFalse(tracker.candidates(SimulatedRouters.SERVICE, 0).getFirst().isSuspect(3));
   }
 
   @Test
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.EnumSet;
+import java.util.List;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
@@ -95,7 +96,8 @@
             activePlan,
             retryBudget,
             quarantine,
-            null);
+            null,
+            List.of());
     final EndpointSelector selector =
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
     final AttemptPlanner planner =
--- a/src/test/java/org/bulrushweir/gateway/PeerMeshTest.java
+++ b/src/test/java/org/bulrushweir/gateway/PeerMeshTest.java
@@ -39,7 +39,8 @@
           new ActivePlan(),
           new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000)),
           new PromptQuarantine(),
-          null);
+          null,
+          List.of());
 
   @AfterEach
   void close() {
