An answer of the store that makes progress is read to its end

Now the limits hold for the start of the answer and for pauses inside it, and eight times the limit for the whole call. SlowStoreAnswerTest.answerThatMakesProgressIsReadToItsEnd failed before this change.

--- a/src/main/java/org/bulrushweir/platform/StoreCalls.java
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -19,6 +19,12 @@
   /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
   private static final long MAX_REPLY_BYTES = 12L << 20;
 
+  /**
+   * The longest time of a call besides what it is asked to wait, in multiples of the time for its
+   * answer to start: a large configuration takes several of these on a busy link of a small VM.
+   */
+  private static final long CALL_MULTIPLE = 8;
+
   private final OkHttpClient client;
   private final HttpUrl base;
   private final long timeoutMs;
@@ -31,7 +37,8 @@
    *
    * @param client the HTTP client to share threads with
    * @param base the platform's base URL
-   * @param timeoutMs how long a call may take, in milliseconds, besides what it is asked to wait
+   * @param timeoutMs how long a call may take until its answer starts, besides what it is asked to
+   *     wait, and how long the answer may pause, in milliseconds
    */
   StoreCalls(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
     this.client =
@@ -69,8 +76,13 @@
    */
   CompletableFuture<StoreReply> sendAndWait(final Request request, final long waitMs) {
     final CompletableFuture<StoreReply> future = new CompletableFuture<>();
-    final Call call = client.newCall(request);
-    call.timeout().timeout(timeoutMs + waitMs, TimeUnit.MILLISECONDS);
+    final Call call =
+        client
+            .newBuilder()
+            .readTimeout(Duration.ofMillis(waitMs + timeoutMs))
+            .callTimeout(Duration.ofMillis(waitMs + CALL_MULTIPLE * timeoutMs))
+            .build()
+            .newCall(request);
     call.enqueue(new ReplyCallback(future));
     return future;
   }
@@ -112,6 +124,7 @@
     @Override
     public void onResponse(final Call call, final Response response) {
       try (response) {
+        response.body().source().timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS);
         future.complete(
             new StoreReply(
                 response.code(), BoundedBody.read(response, MAX_REPLY_BYTES), era(response)));
