Gateways send nothing new to evacuated zones

Operators evacuate a zone with a row evacuate/ZONE in the table of the configuration, which gateways ignored. EvacuatedZones decides by the rows, by restorations of the store and by peers' claims; it filters the candidates of every attempt. An attempt that waited is checked again just before it is sent and ends as NotAccepted, which does not count as an unsent attempt.

--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -10,6 +10,7 @@
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
 
@@ -510,6 +511,19 @@
     return drained;
   }
 
+  /**
+   * Returns the number of requests that this gateway itself has at the endpoints of a zone.
+   *
+   * @param zone the availability zone
+   * @return the number, including requests at endpoints that are no longer registered
+   */
+  public int ownInFlight(final ZoneName zone) {
+    return states.values().stream()
+        .filter(state -> state.entry().zone().equals(zone))
+        .mapToInt(EndpointState::ownInFlight)
+        .sum();
+  }
+
   /**
    * Returns the load of an endpoint.
    *
--- a/src/main/java/org/bulrushweir/demo/DemoFleet.java
+++ b/src/main/java/org/bulrushweir/demo/DemoFleet.java
@@ -113,6 +113,17 @@
    * @return the running gateway
    */
   public GatewayService startGateway(final String name) {
+    return startGateway(name, "");
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @param name its name
+   * @param furtherSettings TOML tables that are appended to its settings
+   * @return the running gateway
+   */
+  public GatewayService startGateway(final String name, final String furtherSettings) {
     final GatewaySettings settings =
         GatewaySettingsLoader.load(
             name,
@@ -128,7 +139,8 @@
             [platform]
             url = "http://127.0.0.1:%d"
             """
-                .formatted(name, graceMs, platform.port()));
+                    .formatted(name, graceMs, platform.port())
+                + furtherSettings);
     final AsyncLogWriter writer = new AsyncLogWriter(log, AsyncLogWriter.DEFAULT_CAPACITY);
     final GatewayComponent gateway = DaggerGatewayComponent.factory().create(settings, writer);
     gateway.kernel().start();
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -131,6 +131,17 @@
     return directory.find(endpoint);
   }
 
+  /**
+   * Returns whether an endpoint that was selected earlier may still get a request.
+   *
+   * @param endpoint the endpoint as it was registered when it was selected
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false if it has left, drains or is in an evacuated zone by now
+   */
+  boolean accepts(final EndpointRecord endpoint, final long nowMs) {
+    return tracker.accepts(endpoint, nowMs);
+  }
+
   /**
    * Finds an engine from which another one can transfer the cached part of a prompt that it lacks.
    *
--- /dev/null
+++ b/src/main/java/org/bulrushweir/gateway/CombinedTableListener.java
@@ -0,0 +1,51 @@
+package org.bulrushweir.gateway;
+
+import java.util.List;
+import org.bulrushweir.store.RowChange;
+
+/** Forwards all notifications of a table to two listeners that use different rows of it. */
+final class CombinedTableListener extends ForwardingTableListener {
+
+  private final TableListener first;
+
+  /**
+   * Creates a combined listener.
+   *
+   * @param first receives each notification first
+   * @param second receives it afterwards
+   */
+  CombinedTableListener(final TableListener first, final TableListener second) {
+    super(second);
+    this.first = first;
+  }
+
+  @Override
+  public void onSnapshot(final List<RowChange> rows) {
+    first.onSnapshot(rows);
+    super.onSnapshot(rows);
+  }
+
+  @Override
+  public void onChanges(final List<RowChange> rows) {
+    first.onChanges(rows);
+    super.onChanges(rows);
+  }
+
+  @Override
+  public void onUpToDate() {
+    first.onUpToDate();
+    super.onUpToDate();
+  }
+
+  @Override
+  public void onRestored(final long pollStartedMs) {
+    first.onRestored(pollStartedMs);
+    super.onRestored(pollStartedMs);
+  }
+
+  @Override
+  public void onUnreachable(final long pollStartedMs) {
+    first.onUnreachable(pollStartedMs);
+    super.onUnreachable(pollStartedMs);
+  }
+}
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -41,6 +41,8 @@
    */
   private static final long RESPONSE_START_MS = 500;
 
+  private static final String NOT_ACCEPTED = "the endpoint accepts no requests any more";
+
   private static final String QUARANTINED = "a segment of the prompt is in quarantine";
 
   private final GatewayCore core;
@@ -156,7 +158,7 @@
   }
 
   private void connect() {
-    if (finished || !goesOn(this::connect)) {
+    if (finished || endUnlessAccepted() || !goesOn(this::connect)) {
       return;
     }
     core.pool()
@@ -191,11 +193,28 @@
       owner.handle(new RelayEvent.NotSent(id, QUARANTINED));
       return;
     }
+    if (endUnlessAccepted()) {
+      core.pool().release(acquired);
+      return;
+    }
     if (goesOn(() -> onConnected(acquired))) {
       send(acquired);
     }
   }
 
+  /**
+   * Ends the attempt if its endpoint must get no requests any more: it may have begun to drain, or
+   * its zone may be evacuated, since it was selected.
+   */
+  private boolean endUnlessAccepted() {
+    if (core.planner().accepts(target, core.nowMs())) {
+      return false;
+    }
+    finish(AttemptOutcome.ABANDONED);
+    owner.handle(new RelayEvent.NotAccepted(id, NOT_ACCEPTED));
+    return true;
+  }
+
   private void send(final EndpointConnection acquired) {
     if (!acquired.isOpen()) {
       connect();
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -6,11 +6,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.balancing.EndpointFilter;
 import org.bulrushweir.balancing.EndpointSelector;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.balancing.RetryBudget;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.catalog.EvacuatedZones;
 import org.bulrushweir.catalog.ServicePlan;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.kernel.PeriodicTask;
@@ -75,6 +77,7 @@
   private final PromptQuarantine quarantine = new PromptQuarantine();
   private final PeerMesh mesh;
   private final EndpointListener endpointListener;
+  private final EvacuationMonitor evacuation;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
   private int callersPort;
@@ -112,7 +115,9 @@
     final EventLoop loop = loops.loop();
     final ActivePlan activePlan = new ActivePlan();
     final EndpointDirectory directory = new EndpointDirectory();
-    final EndpointTracker tracker = tracker(settings, activePlan, directory);
+    final EvacuatedZones zones = new EvacuatedZones(settings.evacuationMs().orElse(0));
+    final EndpointTracker tracker = tracker(settings, activePlan, directory, zones::accepts);
+    this.evacuation = new EvacuationMonitor(zones, directory, tracker, clock);
     final StartGate gate = new StartGate(FOLLOWED_TABLES);
     if (!settings.firstStart()) {
       gate.whenTablesRead(
@@ -132,7 +137,7 @@
             retryBudget,
             quarantine,
             loop,
-            List.of());
+            reportSections(zones));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -155,12 +160,25 @@
                 feed,
                 SharedTable.CONFIGURATION,
                 registration.wrap(
-                    gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock)))),
+                    gate.wrap(SharedTable.CONFIGURATION, planListener(activePlan, zones)))),
             follower(
                 feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpointListener)));
     addGauges(activePlan, tracker, log);
   }
 
+  private List<ReportSection> reportSections(final EvacuatedZones zones) {
+    return settings.evacuationMs().isPresent()
+        ? List.of(new EvacuationReportSection(zones, evacuation))
+        : List.of();
+  }
+
+  private TableListener planListener(final ActivePlan activePlan, final EvacuatedZones zones) {
+    final PlanListener plans = new PlanListener(activePlan, clock);
+    return settings.evacuationMs().isPresent()
+        ? new CombinedTableListener(new EvacuationListener(zones, evacuation, clock), plans)
+        : plans;
+  }
+
   private TableFollower follower(
       final ChangeFeed feed, final SharedTable table, final TableListener listener) {
     return new TableFollower(feed, table, listener, loops.loop(), clock);
@@ -182,7 +200,8 @@
   private static EndpointTracker tracker(
       final GatewaySettings settings,
       final ActivePlan activePlan,
-      final EndpointDirectory directory) {
+      final EndpointDirectory directory,
+      final EndpointFilter filter) {
     return new EndpointTracker(
         directory,
         service ->
@@ -191,11 +210,13 @@
                 .flatMap(plan -> plan.service(service))
                 .map(ServicePlan::kvCapacityTokens)
                 .orElse(0L),
-        settings.selector().prefillTokensPerMs());
+        settings.selector().prefillTokensPerMs(),
+        filter);
   }
 
   private void addGauges(
       final ActivePlan activePlan, final EndpointTracker tracker, final AsyncLogWriter log) {
+    evacuation.addGauges(metrics);
     metrics.gauge(
         "bulrushweir_gateway_endpoints_held_off",
         "Endpoints that asked for no requests for a while.",
@@ -268,6 +289,7 @@
 
   private void expireAndReport() {
     endpointListener.expire();
+    evacuation.expire();
     updateQuarantine();
     mesh.sendReport(false);
   }
--- a/src/main/java/org/bulrushweir/relay/RelayEvent.java
+++ b/src/main/java/org/bulrushweir/relay/RelayEvent.java
@@ -11,6 +11,15 @@
    */
   record NotSent(AttemptId attempt, String detail) implements RelayEvent {}
 
+  /**
+   * The endpoint of an attempt stopped accepting requests before anything was sent to it. This is
+   * no failure of the endpoint, unlike {@link NotSent}.
+   *
+   * @param attempt the attempt
+   * @param detail why it accepts none, for logs
+   */
+  record NotAccepted(AttemptId attempt, String detail) implements RelayEvent {}
+
   /**
    * The router has started to write the request to the endpoint; it may run from now on.
    *
--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -130,6 +130,11 @@
           notSent(failed.detail(), nowMs);
         }
       }
+      case RelayEvent.NotAccepted closed -> {
+        if (isCurrent(closed.attempt())) {
+          notAccepted(closed.detail(), nowMs);
+        }
+      }
       case RelayEvent.Sent sent -> {
         if (isCurrent(sent.attempt())) {
           currentSent = true;
@@ -176,6 +181,17 @@
     }
   }
 
+  /**
+   * Chooses another endpoint. The attempt does not count as unsent, since several endpoints may
+   * stop accepting requests at once; it ends as each endpoint is chosen once.
+   */
+  private void notAccepted(final String detail, final long nowMs) {
+    lastDetail = detail;
+    if (!sendNext(nowMs)) {
+      endWithoutResponse();
+    }
+  }
+
   /** Sends the request to the next endpoint; returns false if there is none. */
   private boolean sendNext(final long nowMs) {
     final Optional<EndpointId> next = endpoints.next(excluded, nowMs);
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.settings;
 
+import java.util.OptionalLong;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
@@ -21,6 +22,8 @@
  * @param graceMs the time from SIGTERM to SIGKILL, in milliseconds
  * @param retryBudget the limit on the retries of all gateways together
  * @param selector the settings of endpoint selection
+ * @param evacuationMs the time after which an evacuation of a zone must be in force, in
+ *     milliseconds, empty if operators evacuate no zones
  * @param logFormat the format of log records
  * @param logLevel the minimum severity of log records that are written
  */
@@ -36,5 +39,6 @@
     long graceMs,
     RetryBudgetSettings retryBudget,
     SelectorSettings selector,
+    OptionalLong evacuationMs,
     LogFormat logFormat,
     LogLevel logLevel) {}
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -2,6 +2,7 @@
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
+import java.util.OptionalLong;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.Identifiers;
@@ -48,6 +49,17 @@
   /** The maximum prefill rate that is accepted as plausible, in tokens per millisecond. */
   private static final double MAXIMUM_PREFILL_TOKENS_PER_MS = 100_000;
 
+  private static final String EVACUATION_KEY = "evacuation_ms";
+
+  /**
+   * The shortest time in which an evacuation can be promised to be in force, in milliseconds: two
+   * polls of the store of which the first gets no response.
+   */
+  private static final long MINIMUM_EVACUATION_MS = 4_000;
+
+  /** The longest time in which an evacuation may come into force, in milliseconds. */
+  private static final long MAXIMUM_EVACUATION_MS = 600_000;
+
   private static final double MS_PER_SECOND = 1_000;
 
   private final FindingCollector findings = new FindingCollector();
@@ -83,6 +95,7 @@
     final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
     final RetryBudgetSettings retryBudget = readRetryBudget(root.table("repeats"));
     final SelectorSettings selector = selector(root.table("selection"));
+    final OptionalLong evacuationMs = evacuationMs(root.table("zones"));
     final TomlReader log = root.table("log");
     final LogFormat format = log.enumValue("format", LogFormat.class, LogFormat.JSON);
     final LogLevel level = log.enumValue("level", LogLevel.class, LogLevel.INFO);
@@ -100,6 +113,7 @@
         graceMs,
         retryBudget,
         selector,
+        evacuationMs,
         format,
         level);
   }
@@ -123,6 +137,17 @@
             MAXIMUM_PREFILL_TOKENS_PER_MS));
   }
 
+  private static OptionalLong evacuationMs(final TomlReader reader) {
+    return reader.has(EVACUATION_KEY)
+        ? OptionalLong.of(
+            reader.integer(
+                EVACUATION_KEY,
+                MINIMUM_EVACUATION_MS,
+                MINIMUM_EVACUATION_MS,
+                MAXIMUM_EVACUATION_MS))
+        : OptionalLong.empty();
+  }
+
   private String name(final String key) {
     final String text = root.text(key);
     if (!text.isEmpty() && !Identifiers.isValid(text)) {
--- a/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
+++ b/src/main/java/org/bulrushweir/standin/DirectEndpointStandIn.java
@@ -57,6 +57,7 @@
   private final StandInStream stream;
   private final Channel server;
   private volatile EndpointFault fault = EndpointFault.NONE;
+  private volatile ZoneName zone = new ZoneName("zone-1");
   private volatile long startedAtMs = System.currentTimeMillis();
 
   /**
@@ -108,7 +109,17 @@
         SharedTable.ENDPOINTS,
         id.value(),
         EndpointSide.registration(
-            service, HOST + ':' + port(), new ZoneName("zone-1"), SLOTS, draining, startedAtMs));
+            service, HOST + ':' + port(), zone, SLOTS, draining, startedAtMs));
+  }
+
+  /**
+   * Registers the endpoint anew, in another zone.
+   *
+   * @param newZone the availability zone
+   */
+  public void moveTo(final ZoneName newZone) {
+    zone = newZone;
+    register(false);
   }
 
   /** Registers the endpoint under the same id as a process that has just started. */
--- a/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
+++ b/src/test/java/org/bulrushweir/relay/RelayMachineTest.java
@@ -75,6 +75,22 @@
         machine.on(new RelayEvent.NotSent(FIRST, "refused"), 10));
   }
 
+  /** Guards against a refusal although many endpoints of one zone stop accepting at once. */
+  @Test
+  void endpointsThatStopAcceptingRequestsDoNotUseUpTheUnsentAttempts() {
+    final RelayMachine machine = started(UNSAFE, new ScriptedEndpoints(10, 0));
+    for (int attempt = 1; attempt < 10; attempt++) {
+      assertEquals(
+          List.of(
+              new RelayAction.Send(
+                  new AttemptId(attempt + 1), new EndpointId("e" + (attempt + 1)), false)),
+          machine.on(new RelayEvent.NotAccepted(new AttemptId(attempt), "evacuated"), 10));
+    }
+    assertEquals(
+        RefusalReason.NOT_RUN,
+        reason(machine.on(new RelayEvent.NotAccepted(new AttemptId(10), "evacuated"), 10)));
+  }
+
   @Test
   void provenRefusalIsRetriedWithinTheBudget() {
     final RelayMachine machine = sent(UNSAFE, new ScriptedEndpoints(2, 1));
