--- a/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
+++ b/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
@@ -34,10 +34,10 @@
 
   /**
    * The share of the bound on the start of an evacuation that passes without a confirmation before
-   * this gateway counts as cut off: more than a poll that waits takes, and less than half, so that
-   * the reports of peers still arrive within the bound.
+   * this gateway counts as cut off: longer than any poll that succeeds, which takes 2.1 s at most,
+   * and short enough for the reports of peers to arrive within the bound of 5 s.
    */
-  private static final double CUT_OFF_SHARE = 0.4;
+  private static final double CUT_OFF_SHARE = 0.5;
 
   /** The number of zones that peers may add; a region has only a few. */
   private static final int MAX_CLAIMED_ZONES = 64;
