Rows of the store without a value are there unless marked as removed

A row without a value counted as removed, so an evacuation written without a value would have had no effect, and one rewritten so would have ended. Only the mark of a removal counts now; listeners that need a value report such a row as unreadable, with the same effect as before. Rows without a key are skipped: they made listeners fail. Also tests an attempt that waits with an open connection, and draws NotAccepted in RelayPropertyTest.

--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -220,15 +220,22 @@
     throw new PlatformException("the platform reports a conflict but names no row", true, null);
   }
 
+  /** Returns a row's value; a row that is there without a value counts as empty, not as removed. */
+  private static Optional<String> value(final StoreMessages.RowMessage row) {
+    if (Boolean.TRUE.equals(row.removed())) {
+      return Optional.empty();
+    }
+    return Optional.of(row.value() == null ? "" : decode(row.value()));
+  }
+
   private static ChangePage toPage(final RowsPage page) {
     final List<RowChange> rows = new ArrayList<>();
     for (final StoreMessages.RowMessage row : page.rows()) {
-      final boolean removed = Boolean.TRUE.equals(row.removed()) || row.value() == null;
-      rows.add(
-          new RowChange(
-              row.key(),
-              removed ? Optional.empty() : Optional.of(decode(row.value())),
-              row.version() == null ? 0 : row.version()));
+      if (row.key() == null) {
+        logger.atFine().log("a row of version %s has no key", row.version());
+      } else {
+        rows.add(new RowChange(row.key(), value(row), row.version() == null ? 0 : row.version()));
+      }
     }
     return new ChangePage(rows, page.message().version(), page.era());
   }
--- a/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
@@ -8,9 +8,12 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.lang.reflect.Proxy;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +62,7 @@
   private final ConnectionPool pool =
       new ConnectionPool(timers.eventLoop(), () -> 0, (endpoint, request, kind) -> {});
   private final List<RelayEvent> events = new ArrayList<>();
+  private final PollMonitor polls = new PollMonitor(0);
   private int written;
 
   private final AttemptOwner owner =
@@ -85,14 +89,19 @@
         }
       };
 
-  /** A caller whose connection is always read, so that its requests go on. */
+  /** The times since which the caller's connection is unread, in the order of the questions. */
+  private final Deque<Long> unreadSinceMs = new ArrayDeque<>();
+
+  /** A caller whose connection is read unless a question is scripted; then its requests wait. */
   private final CallerConnection caller =
       (CallerConnection)
           Proxy.newProxyInstance(
               CallerConnection.class.getClassLoader(),
               new Class<?>[] {CallerConnection.class},
               (proxy, method, arguments) ->
-                  method.getReturnType() == long.class ? (Object) 0L : (Object) true);
+                  method.getReturnType() == long.class
+                      ? (Object) Objects.requireNonNullElse(unreadSinceMs.poll(), 0L)
+                      : (Object) true);
 
   @BeforeEach
   void addEngineWithConnection() {
@@ -130,7 +139,7 @@
                 new ActivePlan(),
                 timers.eventLoop(),
                 pool,
-                new PollMonitor(0),
+                polls,
                 GatewayCoreFixture.requestLog(log)),
             routedRequest(),
             caller,
@@ -196,6 +205,20 @@
     assertEquals(1, tracker.inFlight(ENGINE.id(), 0), "only the other request is left");
   }
 
+  /** Guards against a request that waits with an open connection when the row comes. */
+  @Test
+  void attemptThatWaitsWithOpenConnectionIsNotSentToAnEvacuatedZone() {
+    unreadSinceMs.addAll(List.of(0L, -1_000L));
+    waitingAttempt();
+    waitForPrefix();
+    assertEquals(List.of(), events, "the caller's connection must be read first");
+    zones.put(ZONE, 0);
+    polls.pollStarted(0, 0);
+    polls.pollEnded(0).forEach(Runnable::run);
+    assertEquals(0, written);
+    assertEquals(List.of(NOT_ACCEPTED), events);
+  }
+
   @Test
   void attemptThatWaitsIsNotSentToAnEndpointThatBeginsToDrain() {
     waitingAttempt();
--- a/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
+++ b/src/test/java/org/bulrushweir/platform/HttpPlatformStoreTest.java
@@ -24,6 +24,7 @@
 import org.bulrushweir.store.HistoryLostException;
 import org.bulrushweir.store.PlatformException;
 import org.bulrushweir.store.Row;
+import org.bulrushweir.store.RowChange;
 import org.bulrushweir.store.SharedTable;
 import org.bulrushweir.store.Transaction;
 import org.bulrushweir.store.Vm;
@@ -116,6 +117,29 @@
         List.of(), store.changes(SharedTable.ENDPOINTS, start.version(), 100).join().rows());
   }
 
+  /** Guards against a row without a value, as of an evacuation, that passes for a removed one. */
+  @Test
+  void rowWithoutValueIsThereUnlessItIsRemoved() throws IOException {
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) ->
+                RawAnswer.ok(
+                    "{\"rows\":[{\"key\":\"a\",\"ver\":1},"
+                        + "{\"key\":\"b\",\"value\":null,\"ver\":2},"
+                        + "{\"key\":\"c\",\"ver\":3,\"tombstone\":true},"
+                        + "{\"ver\":4},7],\"ver\":4}"))) {
+      final HttpPlatformStore reader =
+          new HttpPlatformStore(client, HttpUrl.get(server.url()), TIMEOUT_MS);
+      assertEquals(
+          List.of(
+              new RowChange("a", Optional.of(""), 1),
+              new RowChange("b", Optional.of(""), 2),
+              new RowChange("c", Optional.empty(), 3)),
+          reader.snapshot(SharedTable.CONFIGURATION).join().rows());
+    }
+  }
+
   /** Guards against a list of VMs that can't be read because of one entry. */
   @Test
   void entryOfVmsThatCanNotBeReadIsLeftOut() {
--- a/src/test/java/org/bulrushweir/relay/RelayPropertyTest.java
+++ b/src/test/java/org/bulrushweir/relay/RelayPropertyTest.java
@@ -110,12 +110,16 @@
   private static RelayEvent draw(final RandomGenerator random, final Observer observer) {
     final AttemptId attempt = new AttemptId(observer.lastAttempt);
     if (!observer.sent.contains(observer.lastAttempt)) {
-      return switch (random.nextInt(4)) {
+      return switch (random.nextInt(5)) {
         case 0 -> {
           observer.ended.add(observer.lastAttempt);
           yield new RelayEvent.NotSent(attempt, "no connection");
         }
-        case 1 -> new RelayEvent.Tick();
+        case 1 -> {
+          observer.ended.add(observer.lastAttempt);
+          yield new RelayEvent.NotAccepted(attempt, "evacuated");
+        }
+        case 2 -> new RelayEvent.Tick();
         default -> {
           observer.sent.add(observer.lastAttempt);
           yield new RelayEvent.Sent(attempt);
