--- a/src/test/java/org/bulrushweir/settings/GatewaySettingsTemplateTest.java
+++ b/src/test/java/org/bulrushweir/settings/GatewaySettingsTemplateTest.java
@@ -1,14 +1,17 @@
 package org.bulrushweir.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.bulrushweir.api.InvalidInputException;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.junit.jupiter.api.Test;
 
@@ -76,4 +79,25 @@
     assertEquals(8_000, load(Map.of()).graceMs());
     assertEquals(2, load(Map.of()).selector().loadMultiple());
   }
+
+  @Test
+  void evacuationsAreOffWithoutThePlatformsBound() throws IOException {
+    assertEquals(OptionalLong.empty(), load(Map.of()).evacuationMs());
+    assertEquals(OptionalLong.empty(), load(Map.of("cap_x", "1.5")).evacuationMs());
+  }
+
+  /** Guards against a table header that takes the keys of another table. */
+  @Test
+  void boundOfThePlatformSwitchesEvacuationsOn() throws IOException {
+    assertEquals(OptionalLong.of(5_000), load(Map.of("evac_ms", "5000")).evacuationMs());
+    final GatewaySettings settings =
+        load(Map.of("evac_ms", "5000", "cap_x", "1.5", "grace_s", "8"));
+    assertEquals(OptionalLong.of(5_000), settings.evacuationMs());
+    assertEquals(1.5, settings.selector().loadMultiple());
+  }
+
+  @Test
+  void boundThatPollsCannotMeetIsReported() {
+    assertThrows(InvalidInputException.class, () -> load(Map.of("evac_ms", "100")));
+  }
 }
