Cold endpoints get a bounded number of requests from all gateways together

Cause: each gateway sent to a cold endpoint what the selector chose, so that all together exceeded the rate that it bears. Change: package coldstart decides without I/O. Each gateway has a share of the bound, by its rank among the gateways that may be running; none after a start or a gap, while its registration was not read back, or while no peer is heard. The share is checked at the selection and again at the write. Settings cold.overshoot and cold.slack; without them nothing changes.

--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.gateway;
 
+import com.google.common.collect.Sets;
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import org.bulrushweir.balancing.RetryBudget;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
+import org.bulrushweir.coldstart.ColdBudget;
 import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.routing.BitMixer;
 
@@ -33,6 +35,7 @@
   private final RetryBudget retryBudget;
   private final PeerMesh mesh;
   private final PromptQuarantine quarantine;
+  private final ColdBudget coldBudget;
 
   /**
    * Creates a planner.
@@ -43,6 +46,7 @@
    * @param retryBudget limits retries
    * @param mesh reports to peers which prompts were sent where
    * @param quarantine the prompt segments that are kept away from engines
+   * @param coldBudget limits the requests to cold endpoints
    */
   AttemptPlanner(
       final EndpointDirectory directory,
@@ -50,13 +54,15 @@
       final EndpointSelector selector,
       final RetryBudget retryBudget,
       final PeerMesh mesh,
-      final PromptQuarantine quarantine) {
+      final PromptQuarantine quarantine,
+      final ColdBudget coldBudget) {
     this.directory = directory;
     this.tracker = tracker;
     this.selector = selector;
     this.retryBudget = retryBudget;
     this.mesh = mesh;
     this.quarantine = quarantine;
+    this.coldBudget = coldBudget;
   }
 
   /**
@@ -85,10 +91,30 @@
         routed.service(),
         routed.head().prompt(),
         BitMixer.mix(routed.head().id().hashCode()),
-        excluded,
+        withCold(routed, excluded, nowMs),
         nowMs);
   }
 
+  /** Adds the cold endpoints that the request must not be sent to. */
+  private Set<EndpointId> withCold(
+      final RoutedRequest routed, final Set<EndpointId> excluded, final long nowMs) {
+    final Set<EndpointId> cold =
+        coldBudget.unavailable(
+            directory.endpoints(routed.service()), routed.head().prompt(), nowMs);
+    return cold.isEmpty() ? excluded : Sets.union(excluded, cold);
+  }
+
+  /**
+   * Decides whether a request is sent to an endpoint now, and counts it if it is cold.
+   *
+   * @param endpoint the endpoint as it was registered when it was selected
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false if it is cold and this gateway's share of its budget is used up
+   */
+  boolean trySend(final EndpointRecord endpoint, final long nowMs) {
+    return coldBudget.trySend(endpoint, nowMs);
+  }
+
   /**
    * Finds a segment of a prompt that is kept away from engines.
    *
@@ -160,6 +186,7 @@
       final long nowMs) {
     final PlacementSnapshot snapshot =
         tracker.recordAttempt(endpoint, routed.head().prompt(), source, nowMs);
+    directory.find(endpoint).ifPresent(record -> coldBudget.reserve(record, nowMs));
     mesh.reportIfUrgent();
     return snapshot;
   }
@@ -198,7 +225,9 @@
    * @return the time from now in milliseconds, zero if one takes requests or none is listed
    */
   long heldOffForMs(final RoutedRequest routed, final long nowMs) {
-    return tracker.heldOffForMs(routed.service(), nowMs);
+    return Math.max(
+        tracker.heldOffForMs(routed.service(), nowMs),
+        coldBudget.retryAfterMs(directory.endpoints(routed.service()), nowMs));
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -21,6 +21,7 @@
   private final EndpointDecoder decoder = new EndpointDecoder();
   private final EndpointDirectory directory;
   private final Clock clock;
+  private final RegistrationObserver observer;
   private boolean restored;
 
   /**
@@ -30,8 +31,21 @@
    * @param clock the process's clock
    */
   EndpointListener(final EndpointDirectory directory, final Clock clock) {
+    this(directory, clock, (endpoint, version) -> {});
+  }
+
+  /**
+   * Creates the listener.
+   *
+   * @param directory the directory to update
+   * @param clock the process's clock
+   * @param observer receives all registrations that can be read
+   */
+  EndpointListener(
+      final EndpointDirectory directory, final Clock clock, final RegistrationObserver observer) {
     this.directory = directory;
     this.clock = clock;
+    this.observer = observer;
   }
 
   @Override
@@ -86,6 +100,7 @@
     final FindingCollector findings = new FindingCollector();
     final Optional<EndpointRecord> entry = decoder.decode(row.key(), row.value().get(), findings);
     findings.findings().forEach(finding -> logger.atFine().log("%s", finding));
+    entry.ifPresent(endpoint -> observer.observe(endpoint, row.version()));
     return entry;
   }
 
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -41,6 +41,8 @@
    */
   private static final long RESPONSE_START_MS = 500;
 
+  private static final String COLD = "the endpoint is cold and takes no further request now";
+
   private static final String QUARANTINED = "a segment of the prompt is in quarantine";
 
   private final GatewayCore core;
@@ -201,6 +203,12 @@
       connect();
       return;
     }
+    if (!core.planner().trySend(target, core.nowMs())) {
+      core.pool().release(acquired);
+      finish(AttemptOutcome.ABANDONED);
+      owner.handle(new RelayEvent.NotSent(id, COLD));
+      return;
+    }
     connection = acquired;
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.balancing.EndpointFilter;
 import org.bulrushweir.balancing.EndpointSelector;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.balancing.RetryBudget;
@@ -75,6 +76,7 @@
   private final PromptQuarantine quarantine = new PromptQuarantine();
   private final PeerMesh mesh;
   private final EndpointListener endpointListener;
+  private final ColdStartMonitor coldStart;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
   private int callersPort;
@@ -112,7 +114,8 @@
     final EventLoop loop = loops.loop();
     final ActivePlan activePlan = new ActivePlan();
     final EndpointDirectory directory = new EndpointDirectory();
-    final EndpointTracker tracker = tracker(settings, activePlan, directory);
+    this.coldStart = new ColdStartMonitor(settings.node(), settings.cold(), activePlan, clock);
+    final EndpointTracker tracker = tracker(settings, activePlan, directory, coldStart.budget());
     final StartGate gate = new StartGate(FOLLOWED_TABLES);
     if (!settings.firstStart()) {
       gate.whenTablesRead(
@@ -132,7 +135,7 @@
             retryBudget,
             quarantine,
             loop,
-            List.of());
+            List.of(coldStart));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -148,7 +151,7 @@
             requestLog);
     final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
     gate.whenTablesRead(registration::start);
-    this.endpointListener = new EndpointListener(directory, clock);
+    this.endpointListener = new EndpointListener(directory, clock, coldStart);
     this.followers =
         List.of(
             follower(
@@ -159,6 +162,7 @@
             follower(
                 feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpointListener)));
     addGauges(activePlan, tracker, log);
+    coldStart.addMetrics(metrics);
   }
 
   private TableFollower follower(
@@ -176,13 +180,15 @@
         new EndpointSelector(tracker, settings.zone(), settings.selector()),
         retryBudget,
         mesh,
-        quarantine);
+        quarantine,
+        coldStart.budget());
   }
 
   private static EndpointTracker tracker(
       final GatewaySettings settings,
       final ActivePlan activePlan,
-      final EndpointDirectory directory) {
+      final EndpointDirectory directory,
+      final EndpointFilter filter) {
     return new EndpointTracker(
         directory,
         service ->
@@ -191,7 +197,8 @@
                 .flatMap(plan -> plan.service(service))
                 .map(ServicePlan::kvCapacityTokens)
                 .orElse(0L),
-        settings.selector().prefillTokensPerMs());
+        settings.selector().prefillTokensPerMs(),
+        filter);
   }
 
   private void addGauges(
@@ -269,6 +276,7 @@
   private void expireAndReport() {
     endpointListener.expire();
     updateQuarantine();
+    coldStart.update(mesh.registered());
     mesh.sendReport(false);
   }
 
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -5,10 +5,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.Identifiers;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.balancing.PeerReport;
@@ -66,6 +69,7 @@
   private final EventLoop loop;
   private final List<ReportSection> sections;
   private final long incarnation;
+  private Set<NodeId> registered = Set.of();
   private DatagramTransport transport;
   private long sequence;
   private long lastSentMs;
@@ -132,6 +136,7 @@
    * @param rows the rows of the table of registrations
    */
   void addRegistered(final List<RowChange> rows) {
+    registered = listed(rows);
     for (final RowChange row : rows) {
       if (row.value().isPresent() && !row.key().equals(self.value())) {
         try {
@@ -145,6 +150,25 @@
     updateGatewayCount();
   }
 
+  private static Set<NodeId> listed(final List<RowChange> rows) {
+    final Set<NodeId> listed = new HashSet<>();
+    for (final RowChange row : rows) {
+      if (row.value().isPresent() && Identifiers.isValid(row.key())) {
+        listed.add(new NodeId(row.key()));
+      }
+    }
+    return listed;
+  }
+
+  /**
+   * Returns the gateways that the store listed when it was read last.
+   *
+   * @return the gateways, which may include this one and some that are gone
+   */
+  Set<NodeId> registered() {
+    return registered;
+  }
+
   private Peer addOrGet(final NodeId node, final RemoteAddress peerAddress) {
     final Peer existing = peers.get(node);
     if (existing != null && existing.address.equals(peerAddress)) {
--- a/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
@@ -75,6 +75,7 @@
   private void onRegistered(final Throwable failure) {
     if (failure == null) {
       logger.atInfo().log("registered this gateway at %s", mesh.registration());
+      readOnce();
       return;
     }
     logFailure("failed to register this gateway", failure);
@@ -86,6 +87,15 @@
         .whenComplete((page, failure) -> loop.execute(() -> onRead(page, failure)));
   }
 
+  /**
+   * Reads the registrations after this gateway's own is written. Of two gateways that start
+   * together at least one then knows the other, and its reports make it known.
+   */
+  private void readOnce() {
+    feed.snapshot(SharedTable.ROUTERS)
+        .thenAccept(page -> loop.execute(() -> mesh.addRegistered(page.rows())));
+  }
+
   private void onRead(final ChangePage page, final Throwable failure) {
     if (failure != null) {
       logFailure("failed to read the registrations of the gateways", failure);
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -1,10 +1,12 @@
 package org.bulrushweir.settings;
 
+import java.util.Optional;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.coldstart.ColdSettings;
 
 /**
  * Holds the settings of a gateway, a router that sends requests to endpoints without a sidecar.
@@ -21,6 +23,7 @@
  * @param graceMs the time from SIGTERM to SIGKILL, in milliseconds
  * @param retryBudget the limit on the retries of all gateways together
  * @param selector the settings of endpoint selection
+ * @param cold the settings of the limit on what cold endpoints get, empty for no limit
  * @param logFormat the format of log records
  * @param logLevel the minimum severity of log records that are written
  */
@@ -36,5 +39,6 @@
     long graceMs,
     RetryBudgetSettings retryBudget,
     SelectorSettings selector,
+    Optional<ColdSettings> cold,
     LogFormat logFormat,
     LogLevel logLevel) {}
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -2,6 +2,7 @@
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
+import java.util.Optional;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.Identifiers;
@@ -10,6 +11,7 @@
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.coldstart.ColdSettings;
 import org.bulrushweir.toml.TomlReader;
 
 /** Parses and validates the settings of a gateway. */
@@ -48,6 +50,12 @@
   /** The maximum prefill rate that is accepted as plausible, in tokens per millisecond. */
   private static final double MAXIMUM_PREFILL_TOKENS_PER_MS = 100_000;
 
+  /** The maximum factor by which the rate of a cold endpoint may be exceeded. */
+  private static final double MAXIMUM_COLD_OVERSHOOT = 100;
+
+  /** The maximum number of further requests in a second to a cold endpoint. */
+  private static final double MAXIMUM_COLD_SLACK = 10_000;
+
   private static final double MS_PER_SECOND = 1_000;
 
   private final FindingCollector findings = new FindingCollector();
@@ -83,6 +91,7 @@
     final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
     final RetryBudgetSettings retryBudget = readRetryBudget(root.table("repeats"));
     final SelectorSettings selector = selector(root.table("selection"));
+    final Optional<ColdSettings> cold = readCold(root.table("cold"));
     final TomlReader log = root.table("log");
     final LogFormat format = log.enumValue("format", LogFormat.class, LogFormat.JSON);
     final LogLevel level = log.enumValue("level", LogLevel.class, LogLevel.INFO);
@@ -100,6 +109,7 @@
         graceMs,
         retryBudget,
         selector,
+        cold,
         format,
         level);
   }
@@ -113,6 +123,17 @@
                 * reader.number("window_s", DEFAULT_RETRY_WINDOW_S, 1, MAXIMUM_RETRY_WINDOW_S)));
   }
 
+  /** Reads the limit on what cold endpoints get; it is off if neither value is stated. */
+  private static Optional<ColdSettings> readCold(final TomlReader reader) {
+    final boolean overshoot = reader.has("overshoot");
+    final boolean slack = reader.has("slack");
+    final ColdSettings settings =
+        new ColdSettings(
+            reader.number("overshoot", 1, 1, MAXIMUM_COLD_OVERSHOOT),
+            reader.number("slack", 0, 0, MAXIMUM_COLD_SLACK));
+    return overshoot || slack ? Optional.of(settings) : Optional.empty();
+  }
+
   private static SelectorSettings selector(final TomlReader reader) {
     return new SelectorSettings(
         reader.number("load_multiple", DEFAULT_LOAD_MULTIPLE, 1, MAXIMUM_LOAD_MULTIPLE),
--- a/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
+++ b/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
@@ -24,6 +24,7 @@
     "org.bulrushweir.affinity..",
     "org.bulrushweir.balancing..",
     "org.bulrushweir.catalog..",
+    "org.bulrushweir.coldstart..",
     "org.bulrushweir.configuration..",
     "org.bulrushweir.delivery..",
     "org.bulrushweir.membership..",
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
@@ -101,7 +102,14 @@
     final EndpointSelector selector =
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
     final AttemptPlanner planner =
-        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh, quarantine);
+        new AttemptPlanner(
+            directory,
+            tracker,
+            selector,
+            retryBudget,
+            mesh,
+            quarantine,
+            new ColdStartMonitor(NODE, Optional.empty(), activePlan, clock).budget());
     return new GatewayCore(
         clock,
         loop,
