Tests of cold endpoints: the decision, the gateway and the settings; peers are heard before a start counts

Change: a started gateway that has not heard all of the others waits 17 s instead of 2 s; one that was isolated waits 2 s when it hears peers again.

--- a/src/main/java/org/bulrushweir/coldstart/GatewayView.java
+++ b/src/main/java/org/bulrushweir/coldstart/GatewayView.java
@@ -35,6 +35,12 @@
    */
   static final long JOIN_MS = 2_000;
 
+  /**
+   * The time after the start before a gateway uses its share that has not heard all of the others,
+   * in milliseconds: those that it can't reach read its registration within 15 s.
+   */
+  static final long JOIN_UNHEARD_MS = 17_000;
+
   /** The shortest gap between two activities that counts as a freeze, in milliseconds. */
   static final long GAP_MS = 1_000;
 
@@ -60,7 +66,9 @@
   private long lastActiveMs = NEVER_MS;
   private long joiningSinceMs = NEVER_MS;
   private long lastHeardMs = NEVER_MS;
+  private long registeredSinceMs = NEVER_MS;
   private boolean registered;
+  private boolean allHeard;
 
   /**
    * Creates a view that holds this gateway only.
@@ -92,6 +100,10 @@
    */
   public void recordReport(final NodeId peer, final boolean leaving, final long nowMs) {
     recordActivity(nowMs);
+    if (counted.length > 0 && nowMs - lastHeardMs > ISOLATED_MS) {
+      // Peers that have dropped this gateway meanwhile hear of it as of a new one.
+      joiningSinceMs = nowMs;
+    }
     final Member member = members.computeIfAbsent(peer, id -> new Member());
     member.heardMs = nowMs;
     member.left = leaving;
@@ -110,6 +122,7 @@
   public void recordRegistered(final Set<NodeId> listed, final long nowMs) {
     if (!registered && listed.contains(self)) {
       registered = true;
+      registeredSinceMs = nowMs;
       joiningSinceMs = nowMs;
     }
     for (final NodeId node : listed) {
@@ -136,11 +149,13 @@
   private void recount(final long nowMs) {
     boolean changed = false;
     int count = 0;
+    allHeard = true;
     for (final Member member : members.values()) {
       final boolean counts = member.counts(nowMs);
       changed |= counts != member.counted;
       member.counted = counts;
       count += counts ? 1 : 0;
+      allHeard &= !counts || member.heardMs != NEVER_MS;
     }
     if (!changed) {
       return;
@@ -167,7 +182,8 @@
     if (!registered) {
       return Optional.of(NoShareReason.NOT_REGISTERED);
     }
-    if (nowMs - joiningSinceMs < JOIN_MS) {
+    if (nowMs - joiningSinceMs < JOIN_MS
+        || !allHeard && nowMs - registeredSinceMs < JOIN_UNHEARD_MS) {
       return Optional.of(NoShareReason.STARTED_OR_RESUMED);
     }
     final boolean heard =
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -17,17 +17,23 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.FindingCollector;
+import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.balancing.EndpointFilter;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.RoutingPlan;
+import org.bulrushweir.coldstart.ColdBudget;
+import org.bulrushweir.coldstart.ColdEndpoints;
+import org.bulrushweir.coldstart.GatewayView;
 import org.bulrushweir.platform.ExampleConfiguration;
 import org.bulrushweir.platform.RoutingPlanDecoder;
 import org.bulrushweir.relay.PollMonitor;
@@ -78,6 +84,33 @@
    * @param gate the start gate
    */
   EmbeddedGateway(final RequestLog log, final StartGate gate) {
+    this(
+        log,
+        gate,
+        (endpoint, nowMs) -> true,
+        new ColdBudget(
+            new ColdEndpoints(),
+            new GatewayView(new NodeId("gateway-1")),
+            service -> OptionalInt.empty()));
+  }
+
+  /**
+   * Creates a gateway that limits what cold endpoints get.
+   *
+   * @param log counts and logs requests
+   * @param filter decides which endpoints may get requests
+   * @param coldBudget the limit
+   */
+  EmbeddedGateway(final RequestLog log, final EndpointFilter filter, final ColdBudget coldBudget) {
+    this(log, new StartGate(EnumSet.of(SharedTable.ENDPOINTS)), filter, coldBudget);
+    GatewayCoreFixture.open(gate, directory);
+  }
+
+  private EmbeddedGateway(
+      final RequestLog log,
+      final StartGate gate,
+      final EndpointFilter filter,
+      final ColdBudget coldBudget) {
     this.gate = gate;
     final ActivePlan plan = new ActivePlan();
     plan.adoptIfNewer(PLAN);
@@ -85,14 +118,15 @@
     final GatewayCore core =
         GatewayCoreFixture.create(
             directory,
-            new EndpointTracker(directory, service -> 0, 1),
+            new EndpointTracker(directory, service -> 0, 1, filter),
             now::get,
             gate,
             plan,
             timers.eventLoop(),
             pool,
             polls,
-            log);
+            log,
+            coldBudget);
     final UnreadTime unread = new UnreadTime(polls, now::get);
     final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
     final CallerRequestDecoder decoder = new CallerRequestDecoder(core.limits().maxHeaderBytes());
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -16,6 +16,7 @@
 import org.bulrushweir.balancing.SelectorSettings;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.coldstart.ColdBudget;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
@@ -86,6 +87,23 @@
       final ConnectionPool pool,
       final PollMonitor polls,
       final RequestLog log) {
+    final ColdBudget unlimited =
+        new ColdStartMonitor(NODE, Optional.empty(), activePlan, clock).budget();
+    return create(directory, tracker, clock, gate, activePlan, loop, pool, polls, log, unlimited);
+  }
+
+  /** Creates the core with a limit on what cold endpoints get. */
+  static GatewayCore create(
+      final EndpointDirectory directory,
+      final EndpointTracker tracker,
+      final Clock clock,
+      final StartGate gate,
+      final ActivePlan activePlan,
+      final EventLoop loop,
+      final ConnectionPool pool,
+      final PollMonitor polls,
+      final RequestLog log,
+      final ColdBudget coldBudget) {
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
     final PromptQuarantine quarantine = new PromptQuarantine();
     final PeerMesh mesh =
@@ -102,14 +120,7 @@
     final EndpointSelector selector =
         new EndpointSelector(tracker, new ZoneName("zone-1"), new SelectorSettings(2, 1));
     final AttemptPlanner planner =
-        new AttemptPlanner(
-            directory,
-            tracker,
-            selector,
-            retryBudget,
-            mesh,
-            quarantine,
-            new ColdStartMonitor(NODE, Optional.empty(), activePlan, clock).budget());
+        new AttemptPlanner(directory, tracker, selector, retryBudget, mesh, quarantine, coldBudget);
     return new GatewayCore(
         clock,
         loop,
--- /dev/null
+++ b/src/test/java/org/bulrushweir/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings. */
+package org.bulrushweir.settings;
