A request to a cold endpoint counts until it is answered

Cause: requests that a cut link or a frozen endpoint holds back arrive all together later, on top of those of the next seconds. Change: a request counts until its answer or end; if the answer takes longer than 1 s, for 1.2 s after it.

--- a/src/main/java/org/bulrushweir/coldstart/ColdBudget.java
+++ b/src/main/java/org/bulrushweir/coldstart/ColdBudget.java
@@ -166,6 +166,19 @@
     return true;
   }
 
+  /**
+   * Records that a request that was sent is answered, or ends without an answer.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void recordAnswer(final EndpointId endpoint, final long nowMs) {
+    final SendWindow window = windows.get(endpoint);
+    if (window != null) {
+      window.recordAnswer(nowMs);
+    }
+  }
+
   private SendWindow window(final EndpointId endpoint) {
     return windows.computeIfAbsent(endpoint, id -> new SendWindow());
   }
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -115,6 +115,16 @@
     return coldBudget.trySend(endpoint, nowMs);
   }
 
+  /**
+   * Records that a request that was sent is answered, or ends without an answer.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  void recordArrival(final EndpointId endpoint, final long nowMs) {
+    coldBudget.recordAnswer(endpoint, nowMs);
+  }
+
   /**
    * Finds a segment of a prompt that is kept away from engines.
    *
--- a/src/main/java/org/bulrushweir/gateway/ColdStartMonitor.java
+++ b/src/main/java/org/bulrushweir/gateway/ColdStartMonitor.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.logging.Level;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.NodeId;
@@ -150,7 +151,9 @@
     }
     loggedReason = reason;
     reason.ifPresentOrElse(
-        it -> logger.atWarning().log("this gateway sends nothing to cold endpoints: %s", it),
+        it ->
+            logger.at(it == NoShareReason.ISOLATED ? Level.WARNING : Level.INFO).log(
+                "this gateway sends nothing to cold endpoints: %s", it),
         () ->
             logger.atInfo().log(
                 "this gateway has a share of the budgets of cold endpoints; %d gateways count",
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -63,6 +63,7 @@
   private ByteBuf buffered;
   private OptionalLong responseStartMs = OptionalLong.empty();
   private boolean prefillRecorded;
+  private boolean arrivalRecorded;
   private boolean finished;
   private boolean responseEnded;
   private long discardedBytes;
@@ -280,6 +281,7 @@
    */
   void finish(final AttemptOutcome outcome) {
     finished = true;
+    recordArrival();
     core.planner().recordOutcome(endpoint, placement, pendingTokens, outcome, core.nowMs());
     pendingTokens = 0;
   }
@@ -326,6 +328,13 @@
         : AttemptOutcome.FAILED;
   }
 
+  private void recordArrival() {
+    if (connection != null && !arrivalRecorded) {
+      arrivalRecorded = true;
+      core.planner().recordArrival(endpoint, core.nowMs());
+    }
+  }
+
   @Override
   public void onBodyTaken() {
     if (!finished && goesOn(this::onBodyTaken)) {
@@ -338,6 +347,7 @@
     response = received;
     responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
+    recordArrival();
     end.onHead(framing, head.success());
     framer.startResponse();
     recordAnnouncements(received);
--- a/src/test/java/org/bulrushweir/coldstart/ColdBudgetTest.java
+++ b/src/test/java/org/bulrushweir/coldstart/ColdBudgetTest.java
@@ -57,7 +57,10 @@
   private int send(final EndpointRecord endpoint, final int attempts, final long nowMs) {
     int sent = 0;
     for (int attempt = 0; attempt < attempts; attempt++) {
-      sent += budget.trySend(endpoint, nowMs) ? 1 : 0;
+      if (budget.trySend(endpoint, nowMs)) {
+        sent++;
+        budget.recordAnswer(endpoint.id(), nowMs);
+      }
     }
     return sent;
   }
@@ -73,6 +76,25 @@
     assertEquals(SHARE, send(cold, 100, START_MS + SendWindow.WINDOW_MS));
   }
 
+  /** Guards against requests that a cut link holds back and that arrive all together. */
+  @Test
+  void requestsWithoutAnswerCountUntilTheyAreAnswered() {
+    final EndpointRecord cold = cold();
+    for (int request = 0; request < SHARE; request++) {
+      assertTrue(budget.trySend(cold, START_MS));
+    }
+    for (long nowMs = START_MS; nowMs <= START_MS + 4_000; nowMs += 200) {
+      budget.update(nowMs);
+    }
+    assertFalse(budget.trySend(cold, START_MS + 4_000));
+    budget.recordAnswer(cold.id(), START_MS + 4_000);
+    assertFalse(budget.trySend(cold, START_MS + 4_900));
+    for (long nowMs = START_MS + 4_200; nowMs <= START_MS + 5_200; nowMs += 200) {
+      budget.update(nowMs);
+    }
+    assertEquals(1, send(cold, 5, START_MS + 5_200));
+  }
+
   /** Guards against a full share right after many requests to the endpoint while it was warm. */
   @Test
   void requestsBeforeTheEndpointBecameColdCount() {
--- a/src/test/java/org/bulrushweir/coldstart/ColdFleetTest.java
+++ b/src/test/java/org/bulrushweir/coldstart/ColdFleetTest.java
@@ -61,6 +61,11 @@
       public boolean trySend(final long nowMs) {
         return budget.trySend(ENDPOINT, nowMs);
       }
+
+      @Override
+      public void answered(final long nowMs) {
+        budget.recordAnswer(ENDPOINT.id(), nowMs);
+      }
     };
   }
 
@@ -90,6 +95,11 @@
         }
         return sent;
       }
+
+      @Override
+      public void answered(final long nowMs) {
+        window.recordAnswer(nowMs);
+      }
     };
   }
 
--- a/src/test/java/org/bulrushweir/coldstart/VirtualFleet.java
+++ b/src/test/java/org/bulrushweir/coldstart/VirtualFleet.java
@@ -24,6 +24,11 @@
   /** The longest time from the write of a request to its arrival, in milliseconds. */
   private static final int MAX_TRANSIT_MS = 150;
 
+  private static final int MAX_ANSWER_MS = 100;
+
+  /** The longest time for which a link to the endpoint holds requests back, in milliseconds. */
+  private static final long MAX_HELD_MS = 4_000;
+
   private static final int MAX_REPORT_DELAY_MS = 50;
   private static final double REPORT_LOSS = 0.05;
 
@@ -50,6 +55,8 @@
     void update(long nowMs);
 
     boolean trySend(long nowMs);
+
+    void answered(long nowMs);
   }
 
   /** Something that happens at a time. */
@@ -63,6 +70,7 @@
     private long frozenUntilMs;
     private long cutInUntilMs;
     private long cutOutUntilMs;
+    private long heldUntilMs;
     private boolean dead;
     private long nextReportMs;
     private long nextReadMs;
@@ -105,7 +113,7 @@
       }
       // After a freeze callers' requests may be handled before timers and datagrams.
       while (sender.trySend(nowMs)) {
-        arrivals.add(nowMs + random.nextInt(MAX_TRANSIT_MS));
+        send();
       }
       waiting.forEach(peer -> sender.heard(peer, false, nowMs));
       waiting.clear();
@@ -120,6 +128,31 @@
       }
     }
 
+    /** Sends a request. What a cut link holds back of a process is lost when that process dies. */
+    void send() {
+      final Sender sending = sender;
+      final boolean held = nowMs < heldUntilMs;
+      final long atMs = Math.max(nowMs, heldUntilMs) + random.nextInt(MAX_TRANSIT_MS);
+      final long answeredMs = atMs + random.nextInt(MAX_ANSWER_MS);
+      events.add(
+          new Event(
+              atMs,
+              () -> {
+                if (!held || !dead && sending == sender) {
+                  arrivals.add(atMs);
+                  events.add(new Event(answeredMs, () -> answer(sending)));
+                }
+              }));
+    }
+
+    void answer(final Sender sending) {
+      if (nowMs < frozenUntilMs) {
+        events.add(new Event(frozenUntilMs, () -> answer(sending)));
+      } else {
+        sending.answered(nowMs);
+      }
+    }
+
     void report(final boolean leaving) {
       for (final Gateway peer : gateways) {
         if (peer != this && nowMs >= cutOutUntilMs && random.nextDouble() >= REPORT_LOSS) {
@@ -150,7 +183,7 @@
   private void disturb() {
     final Gateway gateway = any();
     final long forMs = 200 + random.nextInt(random.nextBoolean() ? 3_000 : 45_000);
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(7)) {
       case 0 -> gateway.dead = true;
       case 1 -> gateway.stop();
       case 2 -> gateway.frozenUntilMs = nowMs + forMs;
@@ -159,6 +192,7 @@
         gateway.cutInUntilMs = nowMs + forMs;
         gateway.cutOutUntilMs = nowMs + forMs;
       }
+      case 5 -> gateway.heldUntilMs = nowMs + Math.min(forMs, MAX_HELD_MS);
       default -> join(1);
     }
     if (gateway.dead) {
