--- a/src/main/java/org/bulrushweir/demo/DemoFleet.java
+++ b/src/main/java/org/bulrushweir/demo/DemoFleet.java
@@ -117,13 +117,13 @@
   }
 
   /**
-   * Starts a gateway.
+   * Starts a gateway with further settings.
    *
    * @param name its name
-   * @param furtherSettings TOML tables that are appended to its settings
+   * @param tables further tables of its settings, as TOML
    * @return the running gateway
    */
-  public GatewayService startGateway(final String name, final String furtherSettings) {
+  public GatewayService startGateway(final String name, final String tables) {
     final GatewaySettings settings =
         GatewaySettingsLoader.load(
             name,
@@ -138,9 +138,9 @@
             peers = "127.0.0.1:0"
             [platform]
             url = "http://127.0.0.1:%d"
+            %s
             """
-                    .formatted(name, graceMs, platform.port())
-                + furtherSettings);
+                .formatted(name, graceMs, platform.port(), tables));
     final AsyncLogWriter writer = new AsyncLogWriter(log, AsyncLogWriter.DEFAULT_CAPACITY);
     final GatewayComponent gateway = DaggerGatewayComponent.factory().create(settings, writer);
     gateway.kernel().start();
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -42,6 +42,7 @@
   private static final long RESPONSE_START_MS = 500;
 
   private static final String NOT_ACCEPTED = "the endpoint accepts no requests any more";
+  private static final String COLD = "the endpoint is cold and takes no further request now";
 
   private static final String QUARANTINED = "a segment of the prompt is in quarantine";
 
@@ -63,6 +64,7 @@
   private ByteBuf buffered;
   private OptionalLong responseStartMs = OptionalLong.empty();
   private boolean prefillRecorded;
+  private boolean arrivalRecorded;
   private boolean finished;
   private boolean responseEnded;
   private long discardedBytes;
@@ -220,6 +222,12 @@
       connect();
       return;
     }
+    if (!core.planner().trySend(target, core.nowMs())) {
+      core.pool().release(acquired);
+      finish(AttemptOutcome.ABANDONED);
+      owner.handle(new RelayEvent.NotAccepted(id, COLD));
+      return;
+    }
     connection = acquired;
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
@@ -291,6 +299,7 @@
    */
   void finish(final AttemptOutcome outcome) {
     finished = true;
+    recordArrival();
     core.planner().recordOutcome(endpoint, placement, pendingTokens, outcome, core.nowMs());
     pendingTokens = 0;
   }
@@ -337,6 +346,13 @@
         : AttemptOutcome.FAILED;
   }
 
+  private void recordArrival() {
+    if (connection != null && !arrivalRecorded) {
+      arrivalRecorded = true;
+      core.planner().recordArrival(endpoint, core.nowMs());
+    }
+  }
+
   @Override
   public void onBodyTaken() {
     if (!finished && goesOn(this::onBodyTaken)) {
@@ -349,6 +365,7 @@
     response = received;
     responseStartMs = OptionalLong.of(core.nowMs());
     head = ResponseTranslator.head(received);
+    recordArrival();
     end.onHead(framing, head.success());
     framer.startResponse();
     recordAnnouncements(received);
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -78,6 +78,7 @@
   private final PeerMesh mesh;
   private final EndpointListener endpointListener;
   private final EvacuationMonitor evacuation;
+  private final ColdStartMonitor coldStart;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
   private int callersPort;
@@ -116,7 +117,9 @@
     final ActivePlan activePlan = new ActivePlan();
     final EndpointDirectory directory = new EndpointDirectory();
     final EvacuatedZones zones = new EvacuatedZones(settings.evacuationMs().orElse(0));
-    final EndpointTracker tracker = tracker(settings, activePlan, directory, zones::accepts);
+    this.coldStart = new ColdStartMonitor(settings.node(), settings.cold(), activePlan, clock);
+    final EndpointTracker tracker =
+        tracker(settings, activePlan, directory, coldStart.budget().and(zones::accepts));
     this.evacuation = new EvacuationMonitor(zones, directory, tracker, clock);
     final StartGate gate = new StartGate(FOLLOWED_TABLES);
     if (!settings.firstStart()) {
@@ -153,23 +156,31 @@
             requestLog);
     final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
     gate.whenTablesRead(registration::start);
-    this.endpointListener = new EndpointListener(directory, clock);
+    this.endpointListener = new EndpointListener(directory, clock, coldStart);
     this.followers =
-        List.of(
-            follower(
-                feed,
-                SharedTable.CONFIGURATION,
-                registration.wrap(
-                    gate.wrap(SharedTable.CONFIGURATION, planListener(activePlan, zones)))),
-            follower(
-                feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpointListener)));
+        followers(feed, registration, gate, planListener(activePlan, zones), endpointListener);
     addGauges(activePlan, tracker, log);
+    coldStart.addMetrics(metrics);
+  }
+
+  private List<TableFollower> followers(
+      final ChangeFeed feed,
+      final PeerRegistration registration,
+      final StartGate gate,
+      final TableListener plans,
+      final TableListener endpoints) {
+    return List.of(
+        follower(
+            feed,
+            SharedTable.CONFIGURATION,
+            registration.wrap(gate.wrap(SharedTable.CONFIGURATION, plans))),
+        follower(feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpoints)));
   }
 
   private List<ReportSection> reportSections(final EvacuatedZones zones) {
     return settings.evacuationMs().isPresent()
-        ? List.of(new EvacuationReportSection(zones, evacuation))
-        : List.of();
+        ? List.of(coldStart, new EvacuationReportSection(zones, evacuation))
+        : List.of(coldStart);
   }
 
   private TableListener planListener(final ActivePlan activePlan, final EvacuatedZones zones) {
@@ -194,7 +205,8 @@
         new EndpointSelector(tracker, settings.zone(), settings.selector()),
         retryBudget,
         mesh,
-        quarantine);
+        quarantine,
+        coldStart.budget());
   }
 
   private static EndpointTracker tracker(
@@ -291,6 +303,7 @@
     endpointListener.expire();
     evacuation.expire();
     updateQuarantine();
+    coldStart.update(mesh.registered());
     mesh.sendReport(false);
   }
 
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -1,11 +1,13 @@
 package org.bulrushweir.settings;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import okhttp3.HttpUrl;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.coldstart.ColdSettings;
 
 /**
  * Holds the settings of a gateway, a router that sends requests to endpoints without a sidecar.
@@ -24,6 +26,7 @@
  * @param selector the settings of endpoint selection
  * @param evacuationMs the time after which an evacuation of a zone must be in force, in
  *     milliseconds, empty if operators evacuate no zones
+ * @param cold the settings of the limit on what cold endpoints get, empty for no limit
  * @param logFormat the format of log records
  * @param logLevel the minimum severity of log records that are written
  */
@@ -40,5 +43,6 @@
     RetryBudgetSettings retryBudget,
     SelectorSettings selector,
     OptionalLong evacuationMs,
+    Optional<ColdSettings> cold,
     LogFormat logFormat,
     LogLevel logLevel) {}
