Gateways share how far they have read the store's tables

Cause: each gateway polls two tables with waits of 1.4 s, as a silent connection shows only when a poll is not answered in time. Off unless platform.shared_reading is true. Calls of the store that are cancelled close their connection, and have no read timeout besides that of the call.

--- a/src/main/java/org/bulrushweir/catalog/ActivePlan.java
+++ b/src/main/java/org/bulrushweir/catalog/ActivePlan.java
@@ -10,8 +10,8 @@
 
   /**
    * The time after the store's last confirmation for which this process may refuse requests that
-   * the plan does not provide for, in milliseconds: the wait of a poll plus its timeout, see {@code
-   * PollTimings}.
+   * the plan does not provide for, in milliseconds: the wait of a poll without peers plus its
+   * timeout, see {@code ReadingSchedule}.
    */
   static final long CONFIRMATION_VALID_MS = 2_600;
 
@@ -67,11 +67,12 @@
    * Records that the store has no newer plan than those read from it. Without effect after {@link
    * #recordRestoration} until the store holds a plan again that is not older than the present one.
    *
-   * @param nowMs the time of the store's response, in Unix milliseconds
+   * @param asOfMs the time as of which the store has none, in Unix milliseconds; without effect if
+   *     it is earlier than that of another confirmation
    */
-  public void recordConfirmation(final long nowMs) {
+  public void recordConfirmation(final long asOfMs) {
     if (versionToConfirm == 0) {
-      confirmedAtMs = nowMs;
+      confirmedAtMs = Math.max(confirmedAtMs, asOfMs);
     }
   }
 
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -22,6 +22,7 @@
   private final EndpointDirectory directory;
   private final Clock clock;
   private boolean restored;
+  private boolean lastChangesMinor;
 
   /**
    * Creates the listener.
@@ -49,11 +50,29 @@
 
   @Override
   public void onChanges(final List<RowChange> rows) {
+    lastChangesMinor = true;
     rows.forEach(this::apply);
   }
 
+  @Override
+  public boolean areLastChangesMinor() {
+    return lastChangesMinor;
+  }
+
+  /** Returns whether an endpoint stays usable for the same requests, and warm, as registered. */
+  private boolean isMinor(final EndpointRecord entry) {
+    final Optional<EndpointRecord> known = directory.find(entry.id());
+    return known.isPresent()
+        && !known.get().draining()
+        && !entry.draining()
+        && entry.coldForMs() == 0
+        && entry.isSameRun(known.get())
+        && entry.service().equals(known.get().service());
+  }
+
   private void apply(final RowChange row) {
     final Optional<EndpointRecord> entry = decode(row);
+    lastChangesMinor &= entry.isPresent() && isMinor(entry.get());
     if (entry.isPresent()) {
       if (!directory.put(entry.get())) {
         logger.atInfo().log(
@@ -90,15 +109,15 @@
   }
 
   @Override
-  public void onUpToDate() {
+  public void onUpToDate(final long confirmedAtMs) {
     directory.markStoreReachable(clock.nowMs());
   }
 
   /** Endpoints that have registered since the copy are missing from it, as after an outage. */
   @Override
-  public void onRestored(final long pollStartedMs) {
+  public void onRestored(final long answeredUntilMs) {
     restored = true;
-    directory.markStoreUnreachable(pollStartedMs);
+    directory.markStoreUnreachable(answeredUntilMs);
   }
 
   /** Removes the endpoints that have not renewed their lapsed registrations in time. */
@@ -109,7 +128,7 @@
   }
 
   @Override
-  public void onUnreachable(final long pollStartedMs) {
-    directory.markStoreUnreachable(pollStartedMs);
+  public void onUnreachable(final long answeredUntilMs) {
+    directory.markStoreUnreachable(answeredUntilMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/ForwardingTableListener.java
+++ b/src/main/java/org/bulrushweir/gateway/ForwardingTableListener.java
@@ -28,17 +28,22 @@
   }
 
   @Override
-  public void onUpToDate() {
-    target.onUpToDate();
+  public boolean areLastChangesMinor() {
+    return target.areLastChangesMinor();
   }
 
   @Override
-  public void onRestored(final long pollStartedMs) {
-    target.onRestored(pollStartedMs);
+  public void onUpToDate(final long confirmedAtMs) {
+    target.onUpToDate(confirmedAtMs);
   }
 
   @Override
-  public void onUnreachable(final long pollStartedMs) {
-    target.onUnreachable(pollStartedMs);
+  public void onRestored(final long answeredUntilMs) {
+    target.onRestored(answeredUntilMs);
+  }
+
+  @Override
+  public void onUnreachable(final long answeredUntilMs) {
+    target.onUnreachable(answeredUntilMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.metrics.MetricsPage;
+import org.bulrushweir.store.SharedTable;
 
 /** The metrics of a gateway's requests and attempts. */
 public final class GatewayMetrics extends MetricsPage {
@@ -45,6 +46,12 @@
           .help("Times that a request did not go on at once after a wait, by reason.")
           .labelNames("reason")
           .register(registry());
+  private final Counter storeCalls =
+      Counter.builder()
+          .name("bulrushweir_gateway_store_calls_total")
+          .help("Calls to the store by table and kind.")
+          .labelNames("table", "kind")
+          .register(registry());
   private final Histogram loopDelays =
       Histogram.builder()
           .name("bulrushweir_gateway_loop_delay_seconds")
@@ -134,6 +141,16 @@
     heldBack.labelValues(reason).inc();
   }
 
+  /**
+   * Counts a call to the store.
+   *
+   * @param table the table
+   * @param kind the label value that names the kind of call
+   */
+  public void recordStoreCall(final SharedTable table, final String kind) {
+    storeCalls.labelValues(table.name().toLowerCase(Locale.ROOT), kind).inc();
+  }
+
   /**
    * Records a time for which the event loop did not read its sockets.
    *
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -122,6 +122,8 @@
     final RetryBudget retryBudget = new RetryBudget(settings.retryBudget());
     final RequestLog requestLog = new RequestLog(settings.node(), clock, activePlan, metrics, log);
     this.pool = new ConnectionPool(loops.group(), clock, requestLog::recordUnexpectedBytes);
+    final FollowerFactory tables =
+        new FollowerFactory(feed, settings.sharedReading(), metrics, loop, clock);
     this.mesh =
         new PeerMesh(
             settings.node(),
@@ -132,7 +134,7 @@
             retryBudget,
             quarantine,
             loop,
-            List.of());
+            List.of(tables.section()));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -146,24 +148,29 @@
             gate,
             loops.polls(),
             requestLog);
-    final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
+    final PeerRegistration registration =
+        new PeerRegistration(settings.node(), tables.feed(), mesh, loop);
     gate.whenTablesRead(registration::start);
     this.endpointListener = new EndpointListener(directory, clock);
-    this.followers =
-        List.of(
-            follower(
-                feed,
-                SharedTable.CONFIGURATION,
-                registration.wrap(
-                    gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock)))),
-            follower(
-                feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpointListener)));
+    this.followers = followers(tables, registration, gate, activePlan);
     addGauges(activePlan, tracker, log);
   }
 
-  private TableFollower follower(
-      final ChangeFeed feed, final SharedTable table, final TableListener listener) {
-    return new TableFollower(feed, table, listener, loops.loop(), clock);
+  private List<TableFollower> followers(
+      final FollowerFactory tables,
+      final PeerRegistration registration,
+      final StartGate gate,
+      final ActivePlan activePlan) {
+    return List.of(
+        tables.follow(
+            SharedTable.CONFIGURATION,
+            registration.wrap(
+                gate.wrap(SharedTable.CONFIGURATION, new PlanListener(activePlan, clock))),
+            mesh::reportSoon),
+        tables.follow(
+            SharedTable.ENDPOINTS,
+            gate.wrap(SharedTable.ENDPOINTS, endpointListener),
+            mesh::reportSoon));
   }
 
   private AttemptPlanner planner(
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -199,7 +199,14 @@
    * one.
    */
   void reportIfUrgent() {
-    if (reportScheduled || !tracker.isReportUrgent()) {
+    if (tracker.isReportUrgent()) {
+      reportSoon();
+    }
+  }
+
+  /** Schedules an early report, unless one is scheduled. */
+  void reportSoon() {
+    if (reportScheduled) {
       return;
     }
     reportScheduled = true;
--- a/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerRegistration.java
@@ -60,8 +60,8 @@
   TableListener wrap(final TableListener listener) {
     return new ForwardingTableListener(listener) {
       @Override
-      public void onRestored(final long pollStartedMs) {
-        super.onRestored(pollStartedMs);
+      public void onRestored(final long answeredUntilMs) {
+        super.onRestored(answeredUntilMs);
         register();
       }
     };
--- a/src/main/java/org/bulrushweir/gateway/PlanListener.java
+++ b/src/main/java/org/bulrushweir/gateway/PlanListener.java
@@ -93,17 +93,17 @@
   }
 
   @Override
-  public void onUpToDate() {
-    activePlan.recordConfirmation(clock.nowMs());
+  public void onUpToDate(final long confirmedAtMs) {
+    activePlan.recordConfirmation(confirmedAtMs);
   }
 
   @Override
-  public void onRestored(final long pollStartedMs) {
+  public void onRestored(final long answeredUntilMs) {
     activePlan.recordRestoration();
   }
 
   @Override
-  public void onUnreachable(final long pollStartedMs) {
+  public void onUnreachable(final long answeredUntilMs) {
     // The active plan stays; the age of its last confirmation decides which refusals are permitted.
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/PollTimings.java
+++ b/src/main/java/org/bulrushweir/gateway/PollTimings.java
@@ -1,17 +1,8 @@
 package org.bulrushweir.gateway;
 
-/**
- * The timing of polls of the store's tables.
- *
- * <p>A broken connection to the store shows only when a poll is not answered in time. The poll's
- * wait and the timeout of the call must together stay below the time within which a new
- * configuration must be in force.
- */
+/** The timing of polls of the store's tables, besides their waits ({@code ReadingSchedule}). */
 final class PollTimings {
 
-  /** The time for which the store waits for a change before it returns none, in milliseconds. */
-  static final long POLL_WAIT_MS = 1_400;
-
   /**
    * The delay before the next poll after changes were received, in milliseconds. Changes in quick
    * succession then cost one call; the delay is a small part of the time within which changes must
@@ -19,6 +10,19 @@
    */
   static final long BATCH_DELAY_MS = 150;
 
+  /**
+   * The delay before the next poll after changes none of which affects the use of an endpoint, in
+   * milliseconds, if gateways share their readings. A removal that follows is received that much
+   * later, within a fifth of the time in which it must take effect.
+   */
+  static final long MINOR_BATCH_DELAY_MS = 400;
+
+  /**
+   * The time between two checks of a waiting poll, in milliseconds: a small part of the times that
+   * {@code ReadingSchedule} waits for.
+   */
+  static final long CHECK_INTERVAL_MS = 50;
+
   /** The delay before the first retry of a failed poll, in milliseconds. */
   static final long INITIAL_RETRY_MS = 100;
 
--- a/src/main/java/org/bulrushweir/gateway/StartGate.java
+++ b/src/main/java/org/bulrushweir/gateway/StartGate.java
@@ -88,8 +88,8 @@
       }
 
       @Override
-      public void onUnreachable(final long pollStartedMs) {
-        super.onUnreachable(pollStartedMs);
+      public void onUnreachable(final long answeredUntilMs) {
+        super.onUnreachable(answeredUntilMs);
         if (isClosed()) {
           open();
         }
--- a/src/main/java/org/bulrushweir/gateway/TableListener.java
+++ b/src/main/java/org/bulrushweir/gateway/TableListener.java
@@ -21,23 +21,38 @@
   void onChanges(List<RowChange> rows);
 
   /**
-   * Confirms that the listener is up to date: the store has just returned all changes it holds.
-   * Called with every response of the store, before its rows are applied.
+   * Returns whether the changes that were applied last can be followed by a longer delay, as none
+   * of them affects which endpoints get requests.
+   *
+   * @return true if they are of little importance
+   */
+  default boolean areLastChangesMinor() {
+    return false;
+  }
+
+  /**
+   * Confirms that the listener is up to date: the store has returned all changes it holds. Called
+   * with every response of the store, before its rows are applied, and when a peer's reading
+   * confirms the table while the store is reachable.
+   *
+   * @param confirmedAtMs the time as of which the table is up to date, in Unix milliseconds
    */
-  void onUpToDate();
+  void onUpToDate(long confirmedAtMs);
 
   /**
    * Handles that the store was restored from an older copy. Called before the snapshot that
    * follows, which may hold rows that were changed or removed since the copy.
    *
-   * @param pollStartedMs the start of the poll that has shown it, in Unix milliseconds
+   * @param answeredUntilMs the earliest time at which it can have been: the start of the poll that
+   *     has shown it, or the time of a later confirmation, in Unix milliseconds
    */
-  void onRestored(long pollStartedMs);
+  void onRestored(long answeredUntilMs);
 
   /**
    * Handles the failure of a poll.
    *
-   * @param pollStartedMs the start of the failed poll, in Unix milliseconds
+   * @param answeredUntilMs the earliest time at which the store can have stopped to answer: the
+   *     start of the failed poll, or the time of a later confirmation, in Unix milliseconds
    */
-  void onUnreachable(long pollStartedMs);
+  void onUnreachable(long answeredUntilMs);
 }
--- a/src/main/java/org/bulrushweir/node/PlatformService.java
+++ b/src/main/java/org/bulrushweir/node/PlatformService.java
@@ -20,6 +20,12 @@
    */
   public static final long GATEWAY_TIMEOUT_MS = 700;
 
+  /**
+   * The largest number of calls to the store at a time. A gateway has two long polls, a probe
+   * beside each, reads and writes; with the default of 5 a probe could wait for the end of a poll.
+   */
+  private static final int MAX_STORE_CALLS = 16;
+
   private final OkHttpClient client;
   private final HttpPlatformStore store;
 
@@ -40,6 +46,7 @@
    */
   public PlatformService(final HttpUrl platform, final long timeoutMs) {
     this.client = client(platform);
+    client.dispatcher().setMaxRequestsPerHost(MAX_STORE_CALLS);
     this.store = new HttpPlatformStore(client, platform, timeoutMs);
   }
 
--- a/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
+++ b/src/main/java/org/bulrushweir/platform/HttpPlatformStore.java
@@ -136,15 +136,23 @@
             .addQueryParameter(StorePaths.AFTER, Long.toString(after))
             .addQueryParameter(StorePaths.WAIT, Long.toString(waitMs))
             .build();
-    return calls
-        .sendAndWait(new Request.Builder().url(url).build(), waitMs)
-        .thenApply(
-            reply -> {
-              if (reply.status() == StoreReply.STATUS_GONE) {
-                throw new HistoryLostException();
-              }
-              return toPage(RowsPage.of(reply));
-            });
+    final CompletableFuture<StoreReply> reply =
+        calls.sendAndWait(new Request.Builder().url(url).build(), waitMs);
+    final CompletableFuture<ChangePage> page = reply.thenApply(HttpPlatformStore::toChanges);
+    page.whenComplete(
+        (result, failure) -> {
+          if (page.isCancelled()) {
+            reply.cancel(false);
+          }
+        });
+    return page;
+  }
+
+  private static ChangePage toChanges(final StoreReply reply) {
+    if (reply.status() == StoreReply.STATUS_GONE) {
+      throw new HistoryLostException();
+    }
+    return toPage(RowsPage.of(reply));
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/platform/StoreCalls.java
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -19,6 +19,12 @@
   /** The longest reply that is read, in bytes; the largest object has 8 MiB. */
   private static final long MAX_REPLY_BYTES = 12L << 20;
 
+  /**
+   * Nothing is received while the store waits for a change, which may be longer than the client's
+   * default of 10 s; the timeout of the whole call applies.
+   */
+  private static final Duration NO_READ_TIMEOUT = Duration.ZERO;
+
   private final OkHttpClient client;
   private final HttpUrl base;
   private final long timeoutMs;
@@ -35,7 +41,10 @@
    */
   StoreCalls(final OkHttpClient client, final HttpUrl base, final long timeoutMs) {
     this.client =
-        SingleUseConnections.of(client).connectTimeout(Duration.ofMillis(timeoutMs)).build();
+        SingleUseConnections.of(client)
+            .connectTimeout(Duration.ofMillis(timeoutMs))
+            .readTimeout(NO_READ_TIMEOUT)
+            .build();
     this.base = base;
     this.timeoutMs = timeoutMs;
   }
@@ -65,12 +74,19 @@
    *
    * @param request the request
    * @param waitMs how long it asks the store to wait, in milliseconds
-   * @return the answer; fails with a {@link PlatformException} if there is none in time
+   * @return the answer; cancelling it closes the call's connection; fails with a {@link
+   *     PlatformException} if there is none in time
    */
   CompletableFuture<StoreReply> sendAndWait(final Request request, final long waitMs) {
     final CompletableFuture<StoreReply> future = new CompletableFuture<>();
     final Call call = client.newCall(request);
     call.timeout().timeout(timeoutMs + waitMs, TimeUnit.MILLISECONDS);
+    future.whenComplete(
+        (reply, failure) -> {
+          if (future.isCancelled()) {
+            call.cancel();
+          }
+        });
     call.enqueue(new ReplyCallback(future));
     return future;
   }
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -16,6 +16,8 @@
  * @param metrics the address at which metrics are scraped
  * @param peers the address to which other gateways send their reports
  * @param platform the base URL of the platform
+ * @param sharedReading whether gateways tell each other how far they have read the store's tables,
+ *     so that each polls less often
  * @param firstStart whether the whole system starts for the first time, so that no engine has
  *     anything cached
  * @param graceMs the time from SIGTERM to SIGKILL, in milliseconds
@@ -32,6 +34,7 @@
     SocketAddressSettings metrics,
     SocketAddressSettings peers,
     HttpUrl platform,
+    boolean sharedReading,
     boolean firstStart,
     long graceMs,
     RetryBudgetSettings retryBudget,
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -78,7 +78,9 @@
     final SocketAddressSettings readiness = address(listen, "readiness");
     final SocketAddressSettings metrics = address(listen, "metrics");
     final SocketAddressSettings peers = address(listen, "peers");
-    final HttpUrl platform = platformUrl(root.table("platform"));
+    final TomlReader store = root.table("platform");
+    final HttpUrl platform = platformUrl(store);
+    final boolean sharedReading = store.flag("shared_reading", false);
     final boolean firstStart = root.flag("first_start", false);
     final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
     final RetryBudgetSettings retryBudget = readRetryBudget(root.table("repeats"));
@@ -96,6 +98,7 @@
         metrics,
         peers,
         platform,
+        sharedReading,
         firstStart,
         graceMs,
         retryBudget,
--- a/src/main/java/org/bulrushweir/store/ChangeFeed.java
+++ b/src/main/java/org/bulrushweir/store/ChangeFeed.java
@@ -22,8 +22,8 @@
    * @param table the table
    * @param after the version after which changes are wanted
    * @param waitMs how long to wait if there is none, in milliseconds
-   * @return the changed rows in order; fails with a {@link HistoryLostException} if the platform
-   *     has dropped the history
+   * @return the changed rows in order; cancelling it closes the connection of the call; fails with
+   *     a {@link HistoryLostException} if the platform has dropped the history
    */
   CompletableFuture<ChangePage> changes(SharedTable table, long after, long waitMs);
 
--- a/src/test/java/org/bulrushweir/gateway/PlanListenerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/PlanListenerTest.java
@@ -28,7 +28,7 @@
 
   private void restore() {
     listener.onRestored(NOW_MS);
-    listener.onUpToDate();
+    listener.onUpToDate(NOW_MS);
   }
 
   private boolean isInForce(final String key) {
--- a/src/test/java/org/bulrushweir/gateway/RestoredTableTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RestoredTableTest.java
@@ -50,17 +50,17 @@
       }
 
       @Override
-      public void onUpToDate() {
+      public void onUpToDate(final long confirmedAtMs) {
         // Confirmations are not checked here.
       }
 
       @Override
-      public void onRestored(final long pollStartedMs) {
+      public void onRestored(final long answeredUntilMs) {
         // The snapshot that follows is checked.
       }
 
       @Override
-      public void onUnreachable(final long pollStartedMs) {
+      public void onUnreachable(final long answeredUntilMs) {
         // The poll that waits fails when the store is restored.
       }
     };
--- a/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/TableFollowerTest.java
@@ -35,17 +35,17 @@
       }
 
       @Override
-      public void onUpToDate() {
+      public void onUpToDate(final long confirmedAtMs) {
         // This test does not check the confirmations.
       }
 
       @Override
-      public void onRestored(final long pollStartedMs) {
+      public void onRestored(final long answeredUntilMs) {
         // The snapshot that follows is checked.
       }
 
       @Override
-      public void onUnreachable(final long pollStartedMs) {
+      public void onUnreachable(final long answeredUntilMs) {
         throw new IllegalStateException("the feed never fails in this test");
       }
     };
