Tests of the decision on reading, of abandoned calls and of minor changes

Cause: faults put into the decision (a peer ahead ignored, other eras ignored, polls not cut short, an outage counted from the start of the poll) left SharedReadingTest green, since probes cover for them.

--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -67,7 +67,10 @@
         && !entry.draining()
         && entry.coldForMs() == 0
         && entry.isSameRun(known.get())
-        && entry.service().equals(known.get().service());
+        && entry.service().equals(known.get().service())
+        && entry.zone().equals(known.get().zone())
+        && entry.host().equals(known.get().host())
+        && entry.port() == known.get().port();
   }
 
   private void apply(final RowChange row) {
--- a/src/test/java/org/bulrushweir/gateway/SharedReadingTest.java
+++ b/src/test/java/org/bulrushweir/gateway/SharedReadingTest.java
@@ -55,9 +55,8 @@
     final double alone = callsPerSecond(new ReadingFleet(size, false, false), 0);
     final ReadingFleet sharing = new ReadingFleet(size, true, false);
     final double shared = callsPerSecond(sharing, 0);
-    System.out.printf("calm day, %d gateways: %.2f before, %.2f after%n", size, alone, shared);
     assertTrue(alone > 0.65, "calls without sharing: " + alone);
-    assertTrue(shared < 0.4, "calls: " + shared);
+    assertTrue(shared < 0.25, "calls: " + shared);
     assertEquals(List.of(), sharing.breaches());
   }
 
@@ -70,7 +69,7 @@
     final double shared = callsPerSecond(sharing, 200);
     System.out.printf(
         "day of changes, %d gateways: %.2f before, %.2f after%n", size, alone, shared);
-    assertTrue(shared < 0.7 * alone, "calls: " + shared + " instead of " + alone);
+    assertTrue(shared < 0.5 * alone, "calls: " + shared + " instead of " + alone);
     assertEquals(List.of(), sharing.breaches());
   }
 
@@ -90,13 +89,16 @@
         fleet.members().subList(0, silent).forEach(member -> member.client().silence());
         fleet.advance(190 * round);
         final long ms = fleet.spread("changed");
-        assertTrue(ms <= 1_500, silent + " silent, read after " + ms + " ms");
+        final long boundMs = silent == 1 ? 600 : 1_300;
+        assertTrue(ms <= boundMs, silent + " silent, read after " + ms + " ms");
+        fleet.advance(200);
+        fleet.members().forEach(member -> assertTrue(member.client().open() <= 2, "open calls"));
       }
     }
     fleet.advance(1_000);
     fleet.members().subList(1, SIZE).forEach(member -> member.client().silence());
     final long ms = fleet.spread("changed");
-    assertTrue(ms <= 1_000, "all but one silent, read after " + ms + " ms");
+    assertTrue(ms <= 600, "all but one silent, read after " + ms + " ms");
     assertConfirmedThroughout(10_000);
   }
 
--- a/src/test/java/org/bulrushweir/platform/StoreCallsTest.java
+++ b/src/test/java/org/bulrushweir/platform/StoreCallsTest.java
@@ -9,11 +9,17 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.locks.LockSupport;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
+import org.bulrushweir.store.ChangePage;
 import org.bulrushweir.store.PlatformException;
+import org.bulrushweir.store.SharedTable;
 import org.bulrushweir.testing.RawAnswer;
 import org.bulrushweir.testing.Repetition;
 import org.bulrushweir.testing.StutteringServer;
@@ -70,4 +76,43 @@
     }
     assertFalse(failure("http://127.0.0.1:" + port).effectPossible());
   }
+
+  /** Guards against a long poll that fails after the HTTP client's own read timeout. */
+  @Test
+  void callThatWaitsOutlastsTheReadTimeoutOfTheClient() throws IOException {
+    final OkHttpClient impatient = client.newBuilder().readTimeout(Duration.ofMillis(100)).build();
+    try (StutteringServer server =
+        new StutteringServer(
+            Repetition.NONE,
+            (path, number) -> {
+              LockSupport.parkNanos(Duration.ofMillis(600).toNanos());
+              return new RawAnswer(200, "Store-Era: 7\r\n", path);
+            })) {
+      final StoreCalls calls = new StoreCalls(impatient, HttpUrl.get(server.url()), TIMEOUT_MS);
+      final Request request = new Request.Builder().url(calls.url("/rows-feed").build()).build();
+      assertEquals(200, calls.sendAndWait(request, 600).join().status());
+    }
+  }
+
+  /** Guards against connections that stay open when a poll is abandoned. */
+  @Test
+  void cancelledPollClosesItsConnection() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      final HttpPlatformStore store =
+          new HttpPlatformStore(
+              client, HttpUrl.get("http://127.0.0.1:" + silent.getLocalPort()), TIMEOUT_MS);
+      final CompletableFuture<ChangePage> poll = store.changes(SharedTable.ENDPOINTS, 1, 15_000);
+      try (Socket connection = silent.accept()) {
+        connection.setSoTimeout(5_000);
+        assertTrue(connection.getInputStream().read() > 0);
+        poll.cancel(false);
+        final byte[] rest = connection.getInputStream().readAllBytes();
+        assertTrue(rest.length > 0, "the end of the request, then the end of the connection");
+      }
+      for (int step = 0; step < 100 && client.dispatcher().runningCallsCount() > 0; step++) {
+        LockSupport.parkNanos(Duration.ofMillis(20).toNanos());
+      }
+      assertEquals(0, client.dispatcher().runningCallsCount());
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/store/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions on reading the store. */
+package org.bulrushweir.store;
