--- a/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
+++ b/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
@@ -71,13 +71,13 @@
   }
 
   /**
-   * Records a response of the store, after which the rows in it are applied.
+   * Records a confirmation of the table, after which the rows that belong to it are applied.
    *
-   * @param nowMs the time of the response, in Unix milliseconds
+   * @param asOfMs the time as of which the table is up to date, in Unix milliseconds
    */
-  public void recordConfirmation(final long nowMs) {
+  public void recordConfirmation(final long asOfMs) {
     provenAtMs = confirmedAtMs;
-    confirmedAtMs = nowMs;
+    confirmedAtMs = asOfMs;
   }
 
   /** Records that the store was restored from an older copy, which the next snapshot shows. */
--- a/src/main/java/org/bulrushweir/gateway/CombinedTableListener.java
+++ b/src/main/java/org/bulrushweir/gateway/CombinedTableListener.java
@@ -32,20 +32,20 @@
   }
 
   @Override
-  public void onUpToDate() {
-    first.onUpToDate();
-    super.onUpToDate();
+  public void onUpToDate(final long confirmedAtMs) {
+    first.onUpToDate(confirmedAtMs);
+    super.onUpToDate(confirmedAtMs);
   }
 
   @Override
-  public void onRestored(final long pollStartedMs) {
-    first.onRestored(pollStartedMs);
-    super.onRestored(pollStartedMs);
+  public void onRestored(final long answeredUntilMs) {
+    first.onRestored(answeredUntilMs);
+    super.onRestored(answeredUntilMs);
   }
 
   @Override
-  public void onUnreachable(final long pollStartedMs) {
-    first.onUnreachable(pollStartedMs);
-    super.onUnreachable(pollStartedMs);
+  public void onUnreachable(final long answeredUntilMs) {
+    first.onUnreachable(answeredUntilMs);
+    super.onUnreachable(answeredUntilMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/EvacuationListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EvacuationListener.java
@@ -81,17 +81,17 @@
   }
 
   @Override
-  public void onUpToDate() {
-    zones.recordConfirmation(clock.nowMs());
+  public void onUpToDate(final long confirmedAtMs) {
+    zones.recordConfirmation(confirmedAtMs);
   }
 
   @Override
-  public void onRestored(final long pollStartedMs) {
+  public void onRestored(final long answeredUntilMs) {
     zones.recordRestoration();
   }
 
   @Override
-  public void onUnreachable(final long pollStartedMs) {
+  public void onUnreachable(final long answeredUntilMs) {
     // What is known stays in force; the age of the last confirmation tells whether peers count.
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -130,6 +131,8 @@
     final RetryBudget retryBudget = new RetryBudget(settings.retryBudget());
     final RequestLog requestLog = new RequestLog(settings.node(), clock, activePlan, metrics, log);
     this.pool = new ConnectionPool(loops.group(), clock, requestLog::recordUnexpectedBytes);
+    final FollowerFactory tables =
+        new FollowerFactory(feed, settings.sharedReading(), metrics, loop, clock);
     this.mesh =
         new PeerMesh(
             settings.node(),
@@ -140,7 +143,7 @@
             retryBudget,
             quarantine,
             loop,
-            reportSections(zones));
+            reportSections(zones, tables));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -154,33 +157,22 @@
             gate,
             loops.polls(),
             requestLog);
-    final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
+    final PeerRegistration registration =
+        new PeerRegistration(settings.node(), tables.feed(), mesh, loop);
     gate.whenTablesRead(registration::start);
     this.endpointListener = new EndpointListener(directory, clock, coldStart);
-    this.followers =
-        followers(feed, registration, gate, planListener(activePlan, zones), endpointListener);
+    this.followers = followers(tables, registration, gate, planListener(activePlan, zones));
     addGauges(activePlan, tracker, log);
     coldStart.addMetrics(metrics);
   }
 
-  private List<TableFollower> followers(
-      final ChangeFeed feed,
-      final PeerRegistration registration,
-      final StartGate gate,
-      final TableListener plans,
-      final TableListener endpoints) {
-    return List.of(
-        follower(
-            feed,
-            SharedTable.CONFIGURATION,
-            registration.wrap(gate.wrap(SharedTable.CONFIGURATION, plans))),
-        follower(feed, SharedTable.ENDPOINTS, gate.wrap(SharedTable.ENDPOINTS, endpoints)));
-  }
-
-  private List<ReportSection> reportSections(final EvacuatedZones zones) {
-    return settings.evacuationMs().isPresent()
-        ? List.of(coldStart, new EvacuationReportSection(zones, evacuation))
-        : List.of(coldStart);
+  private List<ReportSection> reportSections(
+      final EvacuatedZones zones, final FollowerFactory tables) {
+    final List<ReportSection> sections = new ArrayList<>(List.of(tables.section(), coldStart));
+    if (settings.evacuationMs().isPresent()) {
+      sections.add(new EvacuationReportSection(zones, evacuation));
+    }
+    return sections;
   }
 
   private TableListener planListener(final ActivePlan activePlan, final EvacuatedZones zones) {
@@ -190,9 +182,20 @@
         : plans;
   }
 
-  private TableFollower follower(
-      final ChangeFeed feed, final SharedTable table, final TableListener listener) {
-    return new TableFollower(feed, table, listener, loops.loop(), clock);
+  private List<TableFollower> followers(
+      final FollowerFactory tables,
+      final PeerRegistration registration,
+      final StartGate gate,
+      final TableListener plans) {
+    return List.of(
+        tables.follow(
+            SharedTable.CONFIGURATION,
+            registration.wrap(gate.wrap(SharedTable.CONFIGURATION, plans)),
+            mesh::reportSoon),
+        tables.follow(
+            SharedTable.ENDPOINTS,
+            gate.wrap(SharedTable.ENDPOINTS, endpointListener),
+            mesh::reportSoon));
   }
 
   private AttemptPlanner planner(
--- a/src/main/java/org/bulrushweir/platform/StoreCalls.java
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -72,7 +72,8 @@
    *
    * @param request the request
    * @param waitMs how long it asks the store to wait, in milliseconds
-   * @return the answer; fails with a {@link PlatformException} if there is none in time
+   * @return the answer; cancelling it closes the call's connection; fails with a {@link
+   *     PlatformException} if there is none in time
    */
   CompletableFuture<StoreReply> sendAndWait(final Request request, final long waitMs) {
     final CompletableFuture<StoreReply> future = new CompletableFuture<>();
@@ -83,6 +84,12 @@
             .callTimeout(Duration.ofMillis(waitMs + CALL_MULTIPLE * timeoutMs))
             .build()
             .newCall(request);
+    future.whenComplete(
+        (reply, failure) -> {
+          if (future.isCancelled()) {
+            call.cancel();
+          }
+        });
     call.enqueue(new ReplyCallback(future));
     return future;
   }
--- a/src/test/java/org/bulrushweir/gateway/EvacuationReportSectionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EvacuationReportSectionTest.java
@@ -35,12 +35,12 @@
     private final EvacuationReportSection section = new EvacuationReportSection(zones, monitor);
 
     void read(final RowChange... rows) {
-      listener.onUpToDate();
+      listener.onUpToDate(now.get());
       listener.onSnapshot(List.of(rows));
     }
 
     void confirm() {
-      listener.onUpToDate();
+      listener.onUpToDate(now.get());
       listener.onChanges(List.of());
       monitor.expire();
     }
