Queueing and shares at gateways: decisions and wiring, not tested yet

Package dispatch decides whether a request is sent, waits or is rejected while its service has no room; DispatchGate holds what waits, and DispatchTurn decides everything again after a wait.

--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -198,6 +198,38 @@
     return new ServiceRoom(endpoints, places, inFlight);
   }
 
+  /**
+   * Returns the requests of this gateway that are part of {@link #room}.
+   *
+   * @param service the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the number of requests in flight
+   */
+  public int ownInFlight(final ServiceName service, final long nowMs) {
+    return candidates(service, nowMs).stream()
+        .filter(state -> state.health().heldOffForMs(nowMs) == 0)
+        .mapToInt(EndpointState::ownInFlight)
+        .sum();
+  }
+
+  /**
+   * Returns the shortest time in which an engine of a service finishes the prefill of the prompts
+   * that it has.
+   *
+   * @param service the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time in milliseconds, zero if no engine takes requests
+   */
+  public long shortestPrefillMs(final ServiceName service, final long nowMs) {
+    final double tokens =
+        candidates(service, nowMs).stream()
+            .filter(state -> state.health().heldOffForMs(nowMs) == 0)
+            .mapToLong(state -> state.pendingTokens(nowMs))
+            .min()
+            .orElse(0);
+    return (long) (tokens / prefillTokensPerMs);
+  }
+
   /**
    * Returns the longest prefix of a prompt that any engine of a service has in its cache. Draining
    * engines count, as they can still transfer their cache. Call {@link #candidates} first, which
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -40,6 +40,7 @@
   private final RequestAdmission admission;
   private final StartGate gate;
   private final PollMonitor polls;
+  private final DispatchGate dispatch;
   private long drainingSinceMs = NOT_DRAINING;
   private boolean exiting;
   private int inFlight;
@@ -57,6 +58,7 @@
    * @param crashDetector finds out whether endpoints have crashed
    * @param gate delays requests until the store's tables have been read
    * @param polls the monitor of the event loop's polls
+   * @param dispatch holds requests while their service has no room
    * @param log counts and logs the outcomes of requests
    */
   GatewayCore(
@@ -69,6 +71,7 @@
       final RequestAdmission admission,
       final StartGate gate,
       final PollMonitor polls,
+      final DispatchGate dispatch,
       final RequestLog log) {
     this.clock = clock;
     this.loop = loop;
@@ -79,6 +82,7 @@
     this.admission = admission;
     this.gate = gate;
     this.polls = polls;
+    this.dispatch = dispatch;
     this.log = log;
   }
 
@@ -145,6 +149,7 @@
   void startExit() {
     exiting = true;
     gate.open();
+    dispatch.releaseAll();
     List.copyOf(connections).forEach(CallerHandler::answerBeforeExit);
   }
 
@@ -254,25 +259,47 @@
       final long arrivedMs) {
     final Optional<RequestHead> head = RequestTranslator.head(request);
     final RequestAdmission.Decision decision =
-        head.isEmpty()
-            ? RequestAdmission.INVALID
-            : admission.decide(head.get(), arrivedMs, drainingForMs(), exiting);
+        head.isEmpty() ? RequestAdmission.INVALID : decide(head.get(), arrivedMs);
     switch (decision) {
-      case RequestAdmission.Rejected rejected -> {
-        final String id = head.map(RequestHead::id).orElse("");
-        log.recordRefusal(id, rejected.status().code(), rejected.detail());
-        caller.refuse(rejected.status(), rejected.retryAfterMs());
-      }
-      case RequestAdmission.Admitted admitted -> {
-        planner.recordRequest(admitted.request());
-        inFlight++;
-        final Exchange exchange = new Exchange(this, caller, admitted.request(), request, body);
-        caller.attach(exchange);
-        exchange.start();
-      }
+      case RequestAdmission.Rejected rejected ->
+          refuse(caller, head.map(RequestHead::id).orElse(""), rejected);
+      case RequestAdmission.Admitted admitted ->
+          dispatch.admit(
+              admitted.request(),
+              new DispatchTurn(this, dispatch, caller, request, body, arrivedMs));
     }
   }
 
+  RequestAdmission.Decision decide(final RequestHead head, final long arrivedMs) {
+    return admission.decide(head, arrivedMs, drainingForMs(), exiting);
+  }
+
+  void refuse(
+      final CallerConnection caller, final String id, final RequestAdmission.Rejected rejected) {
+    log.recordRefusal(id, rejected.status().code(), rejected.detail());
+    caller.refuse(rejected.status(), rejected.retryAfterMs());
+  }
+
+  /**
+   * Starts the exchange of a request whose turn it is.
+   *
+   * @param caller the connection that the response is written to
+   * @param routed the request with its route and limits
+   * @param request the request line and headers
+   * @param body the request body, empty if there is none
+   */
+  void start(
+      final CallerConnection caller,
+      final RoutedRequest routed,
+      final HttpRequest request,
+      final ByteBuf body) {
+    planner.recordRequest(routed);
+    inFlight++;
+    final Exchange exchange = new Exchange(this, caller, routed, request, body);
+    caller.attach(exchange);
+    exchange.start();
+  }
+
   private OptionalLong drainingForMs() {
     return isDraining() ? OptionalLong.of(clock.nowMs() - drainingSinceMs) : OptionalLong.empty();
   }
@@ -294,6 +321,7 @@
   void requestFinished(final RoutedRequest routed, final ExchangeResult result) {
     inFlight--;
     log.recordFinished(routed, result);
+    dispatch.recordFinished(routed, result);
   }
 
   /**
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -52,6 +52,7 @@
           .classicOnly()
           .classicUpperBounds(LATENCY_BOUNDS)
           .register(registry());
+  private final QueueMetrics queue = new QueueMetrics(registry());
   private final Map<String, CounterDataPoint> requestCounters = new HashMap<>();
   private final Map<RequestKind, DistributionDataPoint> firstByteByKind =
       new EnumMap<>(RequestKind.class);
@@ -68,6 +69,10 @@
     }
   }
 
+  QueueMetrics queue() {
+    return queue;
+  }
+
   private Histogram latency(final String name, final String until) {
     return Histogram.builder()
         .name(name)
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.balancing.EndpointSelector;
@@ -12,6 +13,7 @@
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.ServicePlan;
+import org.bulrushweir.dispatch.DispatchPolicy;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.kernel.StopSignal;
@@ -122,6 +124,7 @@
     final RetryBudget retryBudget = new RetryBudget(settings.retryBudget());
     final RequestLog requestLog = new RequestLog(settings.node(), clock, activePlan, metrics, log);
     this.pool = new ConnectionPool(loops.group(), clock, requestLog::recordUnexpectedBytes);
+    final DispatchGate dispatch = dispatchGate(tracker);
     this.mesh =
         new PeerMesh(
             settings.node(),
@@ -132,7 +135,7 @@
             retryBudget,
             quarantine,
             loop,
-            List.of());
+            List.of(new DemandSection(dispatch.services())));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -145,6 +148,7 @@
             new RequestAdmission(clock, activePlan, planner, drainPolicy),
             gate,
             loops.polls(),
+            dispatch,
             requestLog);
     final PeerRegistration registration = new PeerRegistration(settings.node(), feed, mesh, loop);
     gate.whenTablesRead(registration::start);
@@ -166,6 +170,22 @@
     return new TableFollower(feed, table, listener, loops.loop(), clock);
   }
 
+  private DispatchGate dispatchGate(final EndpointTracker tracker) {
+    final DispatchGate dispatch =
+        new DispatchGate(
+            settings.dispatch(),
+            new DispatchPolicy(settings.dispatch(), () -> ThreadLocalRandom.current().nextDouble()),
+            clock,
+            loops.loop(),
+            tracker,
+            metrics.queue());
+    metrics.gauge(
+        "bulrushweir_gateway_queued_requests",
+        "Requests that wait for room at their service.",
+        dispatch::waiting);
+    return dispatch;
+  }
+
   private AttemptPlanner planner(
       final EndpointDirectory directory,
       final EndpointTracker tracker,
--- a/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
+++ b/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
@@ -38,6 +38,17 @@
    */
   private static final long UNSAFE_MAX_IDLE_MS = 1_000;
 
+  /**
+   * Returns this request with the durations counted from another time.
+   *
+   * @param fromMs the time at which it was first matched to its route, in Unix milliseconds
+   * @return the request
+   */
+  RoutedRequest countedFrom(final long fromMs) {
+    return new RoutedRequest(
+        head, route, service, organisation, priority, limits, fromMs, planVersion);
+  }
+
   /**
    * Returns whether the response is a stream of events.
    *
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -5,6 +5,7 @@
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.dispatch.DispatchSettings;
 
 /**
  * Holds the settings of a gateway, a router that sends requests to endpoints without a sidecar.
@@ -21,6 +22,7 @@
  * @param graceMs the time from SIGTERM to SIGKILL, in milliseconds
  * @param retryBudget the limit on the retries of all gateways together
  * @param selector the settings of endpoint selection
+ * @param dispatch the settings of queueing
  * @param logFormat the format of log records
  * @param logLevel the minimum severity of log records that are written
  */
@@ -36,5 +38,6 @@
     long graceMs,
     RetryBudgetSettings retryBudget,
     SelectorSettings selector,
+    DispatchSettings dispatch,
     LogFormat logFormat,
     LogLevel logLevel) {}
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -10,6 +10,7 @@
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.toml.TomlReader;
 
 /** Parses and validates the settings of a gateway. */
@@ -48,6 +49,9 @@
   /** The maximum prefill rate that is accepted as plausible, in tokens per millisecond. */
   private static final double MAXIMUM_PREFILL_TOKENS_PER_MS = 100_000;
 
+  /** The maximum number of requests that endpoints may have, as a multiple of their slots. */
+  private static final double MAXIMUM_SLOT_MULTIPLE = 10;
+
   private static final double MS_PER_SECOND = 1_000;
 
   private final FindingCollector findings = new FindingCollector();
@@ -83,6 +87,7 @@
     final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
     final RetryBudgetSettings retryBudget = readRetryBudget(root.table("repeats"));
     final SelectorSettings selector = selector(root.table("selection"));
+    final DispatchSettings dispatch = dispatch(root.table("dispatch"));
     final TomlReader log = root.table("log");
     final LogFormat format = log.enumValue("format", LogFormat.class, LogFormat.JSON);
     final LogLevel level = log.enumValue("level", LogLevel.class, LogLevel.INFO);
@@ -100,6 +105,7 @@
         graceMs,
         retryBudget,
         selector,
+        dispatch,
         format,
         level);
   }
@@ -123,6 +129,13 @@
             MAXIMUM_PREFILL_TOKENS_PER_MS));
   }
 
+  private static DispatchSettings dispatch(final TomlReader reader) {
+    return new DispatchSettings(
+        reader.flag("queue", DispatchSettings.OFF.queue()),
+        reader.number(
+            "slot_multiple", DispatchSettings.OFF.slotMultiple(), 1, MAXIMUM_SLOT_MULTIPLE));
+  }
+
   private String name(final String key) {
     final String text = root.text(key);
     if (!text.isEmpty() && !Identifiers.isValid(text)) {
--- a/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
+++ b/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
@@ -26,6 +26,7 @@
     "org.bulrushweir.catalog..",
     "org.bulrushweir.configuration..",
     "org.bulrushweir.delivery..",
+    "org.bulrushweir.dispatch..",
     "org.bulrushweir.membership..",
     "org.bulrushweir.placement..",
     "org.bulrushweir.quarantine..",
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -28,6 +28,7 @@
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.catalog.RoutingPlan;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.platform.ExampleConfiguration;
 import org.bulrushweir.platform.RoutingPlanDecoder;
 import org.bulrushweir.relay.PollMonitor;
@@ -58,6 +59,8 @@
   private final StringBuilder received = new StringBuilder();
   private final Deque<String> unread = new ArrayDeque<>();
   private final StartGate gate;
+  private final ActivePlan plan = new ActivePlan();
+  private final GatewayCore core;
   private boolean closeUnread;
   private final EmbeddedChannel caller;
 
@@ -78,20 +81,32 @@
    * @param gate the start gate
    */
   EmbeddedGateway(final RequestLog log, final StartGate gate) {
+    this(log, gate, DispatchSettings.OFF);
+  }
+
+  /**
+   * Creates a gateway with settings of its queue.
+   *
+   * @param log counts and logs requests
+   * @param gate the start gate
+   * @param settings whether and when requests wait for room
+   */
+  EmbeddedGateway(final RequestLog log, final StartGate gate, final DispatchSettings settings) {
     this.gate = gate;
-    final ActivePlan plan = new ActivePlan();
     plan.adoptIfNewer(PLAN);
     plan.recordRead(1, START_MS);
-    final GatewayCore core =
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1);
+    core =
         GatewayCoreFixture.create(
             directory,
-            new EndpointTracker(directory, service -> 0, 1),
+            tracker,
             now::get,
             gate,
             plan,
             timers.eventLoop(),
             pool,
             polls,
+            GatewayCoreFixture.dispatchGate(settings, now::get, timers.eventLoop(), tracker),
             log);
     final UnreadTime unread = new UnreadTime(polls, now::get);
     final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -15,6 +15,8 @@
 import org.bulrushweir.balancing.SelectorSettings;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
+import org.bulrushweir.dispatch.DispatchPolicy;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
@@ -71,6 +73,7 @@
         null,
         null,
         new PollMonitor(clock.nowMs()),
+        dispatchGate(DispatchSettings.OFF, clock, null, tracker),
         requestLog(writer));
   }
 
@@ -84,6 +87,7 @@
       final EventLoop loop,
       final ConnectionPool pool,
       final PollMonitor polls,
+      final DispatchGate dispatch,
       final RequestLog log) {
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
     final PromptQuarantine quarantine = new PromptQuarantine();
@@ -112,6 +116,22 @@
         new RequestAdmission(clock, activePlan, planner, new DrainPolicy(1_000)),
         gate,
         polls,
+        dispatch,
         log);
   }
+
+  /** Creates a gate that holds requests as the settings say. */
+  static DispatchGate dispatchGate(
+      final DispatchSettings settings,
+      final Clock clock,
+      final EventLoop loop,
+      final EndpointTracker tracker) {
+    return new DispatchGate(
+        settings,
+        new DispatchPolicy(settings, () -> 0),
+        clock,
+        loop,
+        tracker,
+        new GatewayMetrics().queue());
+  }
 }
