--- a/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
@@ -11,7 +11,7 @@
 public final class DispatchPolicy {
 
   /** The share of an expected wait that must exceed the time left before a request is rejected. */
-  private static final double TRUST = 0.7;
+  private static final double TRUST = 0.85;
 
   /**
    * The share of a caller's time limit after which a response is worth nothing any more: requests
@@ -22,6 +22,15 @@
   /** The share of the time limit for which a request may wait however long requests take. */
   private static final double MIN_WAIT_SHARE = 0.25;
 
+  /** The smallest part of the endpoints' requests at which rounding it up does little harm. */
+  private static final double MIN_PART = 4;
+
+  /**
+   * The multiple of its part by demand that a gateway may use while its peers leave room. Demand is
+   * known late, and some of the peers need less than their part.
+   */
+  private static final double DEMAND_MULTIPLE = 1.5;
+
   /**
    * The longest time for which a request waits because more urgent ones wait at other gateways, in
    * milliseconds. Their reports may be outdated.
@@ -76,7 +85,7 @@
           RejectionReason.PREFILL_BACKLOG, request, load, outlook, load.prefillMs(), nowMs);
     }
     if (!outlook.behindOthers()
-        && hasRoom(load)
+        && outlook.room()
         && !yields(request, request.arrivedMs(), outlook.behindPeers(), load, nowMs)) {
       return new DispatchDecision.SendNow();
     }
@@ -93,18 +102,48 @@
   }
 
   /**
-   * Returns whether this gateway may send another request.
+   * Returns whether this gateway may send another request: up to an equal part of the requests that
+   * the endpoints may have, and beyond it while its peers leave room, up to a part by its share of
+   * the demand. Equal parts are safe against outdated reports, which would otherwise let all
+   * gateways hold requests while slots are idle; parts by demand keep all of them from taking the
+   * same free slots. A small equal part is rounded up, but then used at intervals; a request that
+   * is more urgent than others may use it ahead of time, at their cost.
    *
    * @param load the load of the service
-   * @return true if its part of the requests that the endpoints may have is not reached
+   * @param demandShare the share of this gateway in the requests that are in flight and that wait
+   * @param due whether the interval since this gateway sent a request is over
+   * @param urgent whether less urgent requests arrive here too
+   * @return true if it may
+   */
+  boolean hasRoom(
+      final ServiceLoad load, final double demandShare, final boolean due, final boolean urgent) {
+    final double all = settings.slotMultiple() * load.room().places();
+    if (all == 0
+        || load.room().inFlight() < all
+            && load.ownInFlight() < Math.max(1, DEMAND_MULTIPLE * demandShare * all)) {
+      return true;
+    }
+    final double part = all / load.gateways();
+    if (part >= MIN_PART) {
+      return load.ownInFlight() < part;
+    }
+    return urgent ? load.ownInFlight() < part + 1 : load.ownInFlight() < part && due;
+  }
+
+  /**
+   * Returns the interval at which a gateway uses its equal part.
+   *
+   * @param load the load of the service
+   * @param meanMs the mean duration of a request, in milliseconds
+   * @return the time in milliseconds
    */
-  boolean hasRoom(final ServiceLoad load) {
-    return load.room().places() == 0
-        || load.ownInFlight() < load.ownPart(settings.slotMultiple() * load.room().places());
+  double intervalMs(final ServiceLoad load, final double meanMs) {
+    return meanMs * load.gateways() / Math.max(1, settings.slotMultiple() * load.room().places());
   }
 
   /**
-   * Returns whether a request lets more urgent ones of other gateways go first.
+   * Returns whether a request lets more urgent ones of other gateways go first. An equal part of
+   * the slots is used anyway, so that outdated reports leave none idle.
    *
    * @param request the request
    * @param sinceMs the time since which it waits, in Unix milliseconds
@@ -120,7 +159,11 @@
       final ServiceLoad load,
       final long nowMs) {
     final double longestMs = Math.min(MAX_YIELD_MS, MAX_YIELD_SHARE * request.limitMs());
-    return behindPeers && load.isScarce() && nowMs - sinceMs < longestMs;
+    final double ownSlots = (double) load.room().places() / load.gateways();
+    return behindPeers
+        && load.isScarce()
+        && load.ownInFlight() >= ownSlots
+        && nowMs - sinceMs < longestMs;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
@@ -132,12 +132,14 @@
    * @param request the request
    * @param lineWork the work that goes before it in its own line
    * @param price the work done for an organisation relative to its share
+   * @param arriving the work of an organisation that is expected to arrive in the meantime
    * @return the work
    */
   double workAhead(
       final DispatchRequest request,
       final double lineWork,
-      final ToDoubleFunction<Optional<OrganisationId>> price) {
+      final ToDoubleFunction<Optional<OrganisationId>> price,
+      final ToDoubleFunction<Optional<OrganisationId>> arriving) {
     double ahead = lineWork;
     final SortedMap<Integer, Map<Optional<OrganisationId>, Line>> upTo =
         ranks.headMap(request.rank(), true);
@@ -148,7 +150,8 @@
           ahead += line.getValue().work;
         } else if (!line.getKey().equals(request.organisation())) {
           final double lead = ownPrice + lineWork - price.applyAsDouble(line.getKey());
-          ahead += Math.clamp(lead, 0, line.getValue().work);
+          final double most = line.getValue().work + arriving.applyAsDouble(line.getKey());
+          ahead += Math.clamp(lead, 0, most);
         }
       }
     }
--- a/src/main/java/org/bulrushweir/dispatch/DrainRate.java
+++ b/src/main/java/org/bulrushweir/dispatch/DrainRate.java
@@ -13,7 +13,7 @@
   private static final long BUCKET_MS = WINDOW_MS / BUCKETS;
 
   /** The weight of the latest completion in the means. */
-  private static final double MEAN_WEIGHT = 0.05;
+  private static final double MEAN_WEIGHT = 0.1;
 
   private final double[] doneWork = new double[BUCKETS];
   private final long[] bucketNumbers = new long[BUCKETS];
--- a/src/main/java/org/bulrushweir/dispatch/OrganisationLedger.java
+++ b/src/main/java/org/bulrushweir/dispatch/OrganisationLedger.java
@@ -21,10 +21,11 @@
   private static final double DECAY_MS = 5_000;
 
   /**
-   * The share of the requests of all that an organisation must be served at least; only beyond it
-   * does an organisation that asks for more bear the cost alone.
+   * The part of its requests that is served to an organisation that asks for more than the others,
+   * relative to that of all. Each must be served at least a quarter as often as all; shares are met
+   * to about a tenth.
    */
-  private static final double MIN_SERVED_SHARE = 0.25;
+  private static final double MIN_SERVED_SHARE = 0.3;
 
   /**
    * The largest multiple of an equal share that the rule above grants. It bounds what an
@@ -89,6 +90,18 @@
     return account == null ? 0 : Math.max(0, account.done.at(nowMs));
   }
 
+  /**
+   * Returns the work that an organisation asks for.
+   *
+   * @param organisation the organisation
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the work per millisecond
+   */
+  double askedPerMs(final Optional<OrganisationId> organisation, final long nowMs) {
+    final Account account = accounts.get(organisation);
+    return account == null ? 0 : account.asked.at(nowMs) / DECAY_MS;
+  }
+
   /**
    * Returns the share of an organisation, as a multiple of an equal share.
    *
--- a/src/main/java/org/bulrushweir/dispatch/PeerDemands.java
+++ b/src/main/java/org/bulrushweir/dispatch/PeerDemands.java
@@ -56,6 +56,19 @@
     return valid(SENDER_VALID_MS, nowMs).size();
   }
 
+  /**
+   * Returns the number of requests that wait at the peers.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the number
+   */
+  int waiting(final long nowMs) {
+    return valid(WAITING_VALID_MS, nowMs).stream()
+        .flatMap(demand -> demand.waiting().stream())
+        .mapToInt(Integer::intValue)
+        .sum();
+  }
+
   /**
    * Returns whether a request of a more urgent rank waits at a peer.
    *
--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -33,14 +33,25 @@
   /** The period without requests after which a service is not reported, in milliseconds. */
   private static final long ACTIVE_MS = 2_000;
 
+  /** The time constant in which the arrivals of each rank are counted, in milliseconds. */
+  private static final double ASKED_DECAY_MS = 2_000;
+
+  /** The time by which urgent requests may be ahead of their interval, in milliseconds. */
+  private static final long MAX_AHEAD_MS = 300;
+
+  /** The share of the drain rate that more urgent ranks are assumed to leave at least. */
+  private static final double MIN_FREE_SHARE = 0.1;
+
   private final DispatchQueue queue = new DispatchQueue();
   private final OrganisationLedger ledger = new OrganisationLedger();
   private final DrainRate drain = new DrainRate();
   private final PeerDemands peers = new PeerDemands();
+  private final TreeMap<Integer, DecayingSum> askedByRank = new TreeMap<>();
   private final TreeMap<Integer, Long> sentMsByRank = new TreeMap<>();
   private final DispatchPolicy policy;
   private Optional<Rejection> displaced = Optional.empty();
   private long lastRequestMs = -ACTIVE_MS;
+  private double nextMs;
 
   /**
    * Creates a dispatcher without requests.
@@ -70,13 +81,16 @@
   public DispatchDecision offer(
       final DispatchRequest request, final ServiceLoad load, final long nowMs) {
     lastRequestMs = nowMs;
+    askedByRank
+        .computeIfAbsent(request.rank(), rank -> new DecayingSum(ASKED_DECAY_MS))
+        .add(request.work(), nowMs);
     ledger.recordDemand(request.organisation(), request.work(), nowMs);
     final ToDoubleFunction<Optional<OrganisationId>> price = prices(nowMs);
     final Outlook outlook = outlook(request, queue.lineWork(request), price, load, nowMs);
     final DispatchDecision decision = policy.decide(request, load, outlook, nowMs);
     return switch (decision) {
       case DispatchDecision.SendNow send -> {
-        recordSent(request, nowMs);
+        recordSent(request, load, nowMs);
         yield send;
       }
       case DispatchDecision.Wait wait -> {
@@ -98,16 +112,47 @@
       final ServiceLoad load,
       final long nowMs) {
     final double rate = drain.workPerMs(load.ownPart(load.room().places()), nowMs);
-    final double ahead = queue.workAhead(request, lineWork, price);
+    final double free = Math.max(MIN_FREE_SHARE * rate, rate - urgentRate(request.rank(), nowMs));
+    final double ahead = queue.workAhead(request, lineWork, price, organisation -> 0);
+    final double shortestMs = rate == 0 ? 0 : ahead / free;
+    // What arrives meanwhile for organisations with less work done goes first as well.
+    final double expected =
+        queue.workAhead(
+            request,
+            lineWork,
+            price,
+            organisation -> ledger.askedPerMs(organisation, nowMs) * shortestMs);
     return new Outlook(
+        hasRoom(request, load, nowMs),
         queue.hasUpTo(request.rank()),
         peers.isMoreUrgentWaiting(request.rank(), nowMs),
         sentMsByRank.tailMap(request.rank(), false).values().stream()
             .anyMatch(sentMs -> nowMs - sentMs < RECENTLY_SENT_MS),
-        rate == 0 ? 0 : Math.round(ahead / rate),
+        rate == 0 ? 0 : Math.round(expected / free),
         drain.meanMs());
   }
 
+  /** Returns the work of more urgent ranks that arrives per millisecond and goes first. */
+  private double urgentRate(final int rank, final long nowMs) {
+    return askedByRank.headMap(rank, false).values().stream()
+            .mapToDouble(asked -> asked.at(nowMs))
+            .sum()
+        / ASKED_DECAY_MS;
+  }
+
+  private boolean hasRoom(final DispatchRequest request, final ServiceLoad load, final long nowMs) {
+    final boolean urgent =
+        nextMs < nowMs + MAX_AHEAD_MS
+            && askedByRank.tailMap(request.rank(), false).values().stream()
+                .anyMatch(asked -> asked.at(nowMs) >= request.work());
+    return policy.hasRoom(load, demandShare(load, nowMs), nowMs >= nextMs, urgent);
+  }
+
+  private double demandShare(final ServiceLoad load, final long nowMs) {
+    final double own = 1.0 + load.ownInFlight() + queue.size();
+    return own / (own + load.peersInFlight() + peers.waiting(nowMs));
+  }
+
   /** Makes room in a full queue; returns false if the request goes after all that wait. */
   private boolean displaceFor(
       final DispatchRequest request,
@@ -156,7 +201,10 @@
             key -> (ledger.done(key, nowMs) + peers.work(key, nowMs)) / ledger.weight(key, nowMs));
   }
 
-  private void recordSent(final DispatchRequest request, final long nowMs) {
+  private void recordSent(final DispatchRequest request, final ServiceLoad load, final long nowMs) {
+    final boolean ahead = !policy.hasRoom(load, demandShare(load, nowMs), nowMs >= nextMs, false);
+    final double aheadMs = ahead ? Math.clamp(nextMs - nowMs, 0, MAX_AHEAD_MS) : 0;
+    nextMs = nowMs + aheadMs + policy.intervalMs(load, drain.meanMs());
     sentMsByRank.put(request.rank(), nowMs);
     ledger.recordDone(request.organisation(), request.work(), nowMs);
   }
@@ -169,17 +217,20 @@
    * @return the request, empty if none waits or all have to wait on
    */
   public Optional<WaitingRequest> next(final ServiceLoad load, final long nowMs) {
-    if (queue.isEmpty() || !policy.hasRoom(load)) {
+    if (queue.isEmpty()) {
       return Optional.empty();
     }
     final WaitingRequest first = queue.first(prices(nowMs)).orElseThrow();
     final DispatchRequest request = first.request();
+    if (!hasRoom(request, load, nowMs)) {
+      return Optional.empty();
+    }
     final boolean behindPeers = peers.isMoreUrgentWaiting(request.rank(), nowMs);
     if (policy.yields(request, first.queuedMs(), behindPeers, load, nowMs)) {
       return Optional.empty();
     }
     queue.remove(first);
-    recordSent(request, nowMs);
+    recordSent(request, load, nowMs);
     return Optional.of(first);
   }
 
--- /dev/null
+++ b/src/test/java/org/bulrushweir/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions on whose turn it is. */
+package org.bulrushweir.dispatch;
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -108,16 +108,31 @@
             polls,
             GatewayCoreFixture.dispatchGate(settings, now::get, timers.eventLoop(), tracker),
             log);
+    caller = openCaller();
+  }
+
+  /** Opens the connection of another caller. */
+  EmbeddedChannel openCaller() {
     final UnreadTime unread = new UnreadTime(polls, now::get);
     final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
     final CallerRequestDecoder decoder = new CallerRequestDecoder(core.limits().maxHeaderBytes());
-    caller =
-        new EmbeddedChannel(
-            headTimer.beforeDecoder(decoder),
-            decoder,
-            headTimer.afterDecoder(),
-            new HttpResponseEncoder(),
-            new CallerHandler(core, headTimer, unread));
+    return new EmbeddedChannel(
+        headTimer.beforeDecoder(decoder),
+        decoder,
+        headTimer.afterDecoder(),
+        new HttpResponseEncoder(),
+        new CallerHandler(core, headTimer, unread));
+  }
+
+  /** Adopts a newer plan. */
+  void adopt(final RoutingPlan newer) {
+    plan.adoptIfNewer(newer);
+  }
+
+  /** Stops the process without waiting for anything. */
+  void exit() {
+    core.startDraining(now.get());
+    core.startExit();
   }
 
   /**
@@ -127,6 +142,11 @@
    * @param reused whether the connection has carried another request before
    */
   void addEndpoint(final ServiceName service, final boolean reused) {
+    addEndpoint(service, reused, 8);
+  }
+
+  /** Adds an endpoint with one open connection and a number of slots. */
+  void addEndpoint(final ServiceName service, final boolean reused, final int slots) {
     final int number = endpoints.size() + 1;
     final EndpointRecord endpoint =
         new EndpointRecord(
@@ -135,7 +155,7 @@
             "127.0.0.1",
             number,
             new ZoneName("zone-1"),
-            8,
+            slots,
             false,
             1);
     directory.put(endpoint);
@@ -270,7 +290,8 @@
     return caller.isOpen();
   }
 
-  private static String takeOutbound(final EmbeddedChannel channel) {
+  /** Takes all bytes that were written to a connection. */
+  static String takeOutbound(final EmbeddedChannel channel) {
     final StringBuilder text = new StringBuilder();
     for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
       text.append(part.toString(StandardCharsets.ISO_8859_1));
