--- a/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
@@ -13,6 +13,12 @@
   /** The share of an expected wait that must exceed the time left before a request is rejected. */
   private static final double TRUST = 0.85;
 
+  /**
+   * The share of a prefill backlog that is counted as certain: engines prefill up to a third faster
+   * than their data sheet says.
+   */
+  private static final double PREFILL_TRUST = 0.75;
+
   /**
    * The share of a caller's time limit after which a response is worth nothing any more: requests
    * that wait are sent, or rejected, before.
@@ -79,7 +85,8 @@
     if (load.room().endpoints() == 0) {
       return new DispatchDecision.SendNow();
     }
-    final boolean late = isTooLate(request, load.prefillMs(), outlook, nowMs);
+    final long prefillMs = (long) (PREFILL_TRUST * load.prefillMs());
+    final boolean late = isTooLate(request, prefillMs, outlook, nowMs);
     if (late && load.isHalfTaken() && !outlook.passedByLessUrgent()) {
       return reject(
           RejectionReason.PREFILL_BACKLOG, request, load, outlook, load.prefillMs(), nowMs);
@@ -124,7 +131,7 @@
       return true;
     }
     final double part = all / load.gateways();
-    if (part >= MIN_PART) {
+    if (part >= MIN_PART || load.gateways() == 1) {
       return load.ownInFlight() < part;
     }
     return urgent ? load.ownInFlight() < part + 1 : load.ownInFlight() < part && due;
--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -111,10 +111,33 @@
       final ToDoubleFunction<Optional<OrganisationId>> price,
       final ServiceLoad load,
       final long nowMs) {
+    return new Outlook(
+        hasRoom(request, load, nowMs),
+        queue.hasUpTo(request.rank()),
+        peers.isMoreUrgentWaiting(request.rank(), nowMs),
+        isPassedByLessUrgent(request, nowMs),
+        expectedWaitMs(request, lineWork, price, load, nowMs),
+        drain.meanMs());
+  }
+
+  private boolean isPassedByLessUrgent(final DispatchRequest request, final long nowMs) {
+    return sentMsByRank.tailMap(request.rank(), false).values().stream()
+        .anyMatch(sentMs -> nowMs - sentMs < RECENTLY_SENT_MS);
+  }
+
+  /** Returns the expected wait, zero if the drain rate is unknown. */
+  private long expectedWaitMs(
+      final DispatchRequest request,
+      final double lineWork,
+      final ToDoubleFunction<Optional<OrganisationId>> price,
+      final ServiceLoad load,
+      final long nowMs) {
     final double rate = drain.workPerMs(load.ownPart(load.room().places()), nowMs);
+    if (rate == 0 || queue.isEmpty()) {
+      return 0;
+    }
     final double free = Math.max(MIN_FREE_SHARE * rate, rate - urgentRate(request.rank(), nowMs));
-    final double ahead = queue.workAhead(request, lineWork, price, organisation -> 0);
-    final double shortestMs = rate == 0 ? 0 : ahead / free;
+    final double shortestMs = queue.workAhead(request, lineWork, price, organisation -> 0) / free;
     // What arrives meanwhile for organisations with less work done goes first as well.
     final double expected =
         queue.workAhead(
@@ -122,14 +145,7 @@
             lineWork,
             price,
             organisation -> ledger.askedPerMs(organisation, nowMs) * shortestMs);
-    return new Outlook(
-        hasRoom(request, load, nowMs),
-        queue.hasUpTo(request.rank()),
-        peers.isMoreUrgentWaiting(request.rank(), nowMs),
-        sentMsByRank.tailMap(request.rank(), false).values().stream()
-            .anyMatch(sentMs -> nowMs - sentMs < RECENTLY_SENT_MS),
-        rate == 0 ? 0 : Math.round(expected / free),
-        drain.meanMs());
+    return Math.round(expected / free);
   }
 
   /** Returns the work of more urgent ranks that arrives per millisecond and goes first. */
@@ -248,7 +264,14 @@
       double lineWork = 0;
       for (final WaitingRequest waiting : line) {
         final DispatchRequest request = waiting.request();
-        final Outlook outlook = outlook(request, lineWork, price, load, nowMs);
+        final Outlook outlook =
+            new Outlook(
+                false,
+                true,
+                false,
+                isPassedByLessUrgent(request, nowMs),
+                expectedWaitMs(request, lineWork, price, load, nowMs),
+                drain.meanMs());
         final boolean expired = nowMs >= policy.latestStartMs(request, outlook.meanMs());
         final boolean hopeless =
             policy.isTooLate(request, outlook.waitMs(), outlook, nowMs)
--- a/src/main/java/org/bulrushweir/dispatch/ServiceLoad.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceLoad.java
@@ -48,7 +48,12 @@
     return room.inFlight() >= room.places();
   }
 
-  boolean isHalfTaken() {
+  /**
+   * Returns whether at least half of the slots are taken; otherwise nothing is rejected.
+   *
+   * @return true if so
+   */
+  public boolean isHalfTaken() {
     return 2L * room.inFlight() >= room.places();
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/DispatchGate.java
+++ b/src/main/java/org/bulrushweir/gateway/DispatchGate.java
@@ -37,6 +37,12 @@
   /** The output that is assumed for a prompt without a limit, in tokens: a usual answer. */
   private static final long DEFAULT_OUTPUT_TOKENS = 256;
 
+  /**
+   * The time between two looks for requests that can't be served in time any more, in milliseconds.
+   * Each takes some milliseconds for a full queue.
+   */
+  private static final long REJECT_INTERVAL_MS = 100;
+
   private static final String ANSWERED = "answered";
 
   private final Map<ServiceName, ServiceDispatcher> services = new HashMap<>();
@@ -51,6 +57,7 @@
   private final EndpointTracker tracker;
   private final QueueMetrics metrics;
   private long lastNumber;
+  private long lastRejectedMs;
   private boolean tickScheduled;
   private boolean pollScheduled;
 
@@ -159,7 +166,7 @@
   private ServiceLoad load(
       final RoutedRequest routed, final ServiceDispatcher dispatcher, final long nowMs) {
     final ServiceLoad load = load(routed.service(), dispatcher, nowMs);
-    return routed.head().prompt().isEmpty()
+    return routed.head().prompt().isEmpty() || !load.isHalfTaken()
         ? load
         : load.withPrefill(tracker.shortestPrefillMs(routed.service(), nowMs));
   }
@@ -177,14 +184,19 @@
       scheduleTick();
     }
     dropLeft();
+    sendWaiting();
     final long nowMs = clock.nowMs();
+    if (nowMs - lastRejectedMs >= REJECT_INTERVAL_MS) {
+      lastRejectedMs = nowMs;
+      rejectLate(nowMs);
+    }
+  }
+
+  private void rejectLate(final long nowMs) {
     for (final Map.Entry<ServiceName, ServiceDispatcher> entry : List.copyOf(services.entrySet())) {
       if (entry.getValue().waiting() > 0) {
-        sendNext(entry.getKey(), entry.getValue());
-        entry
-            .getValue()
-            .rejectLate(load(entry.getKey(), entry.getValue(), nowMs), nowMs)
-            .forEach(this::reject);
+        final ServiceLoad load = load(entry.getKey(), entry.getValue(), nowMs);
+        entry.getValue().rejectLate(load, nowMs).forEach(this::reject);
       }
     }
   }
@@ -301,7 +313,9 @@
   private void sendWaiting() {
     pollScheduled = false;
     for (final Map.Entry<ServiceName, ServiceDispatcher> entry : List.copyOf(services.entrySet())) {
-      sendNext(entry.getKey(), entry.getValue());
+      if (entry.getValue().waiting() > 0) {
+        sendNext(entry.getKey(), entry.getValue());
+      }
     }
   }
 
--- a/src/test/java/org/bulrushweir/dispatch/VirtualFleet.java
+++ b/src/test/java/org/bulrushweir/dispatch/VirtualFleet.java
@@ -23,6 +23,7 @@
 
   private static final int REPORT_MS = 200;
   private static final int TICK_MS = 20;
+  private static final int REJECT_MS = 100;
   private static final long MAX_DELAY_MS = 200;
 
   private final List<Gateway> gateways = new ArrayList<>();
@@ -245,6 +246,8 @@
     void act() {
       if (nowMs % TICK_MS == number % TICK_MS) {
         sendNext();
+      }
+      if (nowMs % REJECT_MS == number % REJECT_MS) {
         dispatcher.rejectLate(load(), nowMs).forEach(VirtualFleet.this::reject);
       }
       if (nowMs % REPORT_MS == number * 37L % REPORT_MS) {
