--- a/src/main/java/org/bulrushweir/gateway/DemandSection.java
+++ b/src/main/java/org/bulrushweir/gateway/DemandSection.java
@@ -23,6 +23,9 @@
   /** The greatest number of services in a report. */
   private static final int MAX_SERVICES = 32;
 
+  /** The greatest plausible number of waiting requests of a rank. */
+  private static final int MAX_WAITING = 100_000;
+
   private final Map<ServiceName, ServiceDispatcher> services;
 
   /**
@@ -74,7 +77,10 @@
 
   private static PeerDemand decode(final ServiceDemand message) {
     final List<Integer> waiting =
-        message.getWaitingList().stream().limit(PeerDemand.MAX_RANKS).toList();
+        message.getWaitingList().stream()
+            .limit(PeerDemand.MAX_RANKS)
+            .map(count -> Math.clamp(count, 0, MAX_WAITING))
+            .toList();
     final Map<OrganisationId, Double> work = new HashMap<>();
     for (final OrganisationWork entry : message.getOrganisationsList()) {
       if (work.size() < PeerDemand.MAX_ORGANISATIONS
