--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -33,20 +33,14 @@
   /** The period without requests after which a service is not reported, in milliseconds. */
   private static final long ACTIVE_MS = 2_000;
 
-  /** The time constant in which the arrivals of each rank are counted, in milliseconds. */
-  private static final double ASKED_DECAY_MS = 2_000;
-
   /** The time by which urgent requests may be ahead of their interval, in milliseconds. */
   private static final long MAX_AHEAD_MS = 300;
 
-  /** The share of the drain rate that more urgent ranks are assumed to leave at least. */
-  private static final double MIN_FREE_SHARE = 0.1;
-
   private final DispatchQueue queue = new DispatchQueue();
   private final OrganisationLedger ledger = new OrganisationLedger();
   private final DrainRate drain = new DrainRate();
   private final PeerDemands peers = new PeerDemands();
-  private final TreeMap<Integer, DecayingSum> askedByRank = new TreeMap<>();
+  private final WaitEstimator estimator = new WaitEstimator(queue, ledger, drain);
   private final TreeMap<Integer, Long> sentMsByRank = new TreeMap<>();
   private final DispatchPolicy policy;
   private Optional<Rejection> displaced = Optional.empty();
@@ -81,9 +75,7 @@
   public DispatchDecision offer(
       final DispatchRequest request, final ServiceLoad load, final long nowMs) {
     lastRequestMs = nowMs;
-    askedByRank
-        .computeIfAbsent(request.rank(), rank -> new DecayingSum(ASKED_DECAY_MS))
-        .add(request.work(), nowMs);
+    estimator.recordDemand(request, nowMs);
     ledger.recordDemand(request.organisation(), request.work(), nowMs);
     final ToDoubleFunction<Optional<OrganisationId>> price = prices(nowMs);
     final Outlook outlook = outlook(request, queue.lineWork(request), price, load, nowMs);
@@ -116,7 +108,7 @@
         queue.hasUpTo(request.rank()),
         peers.isMoreUrgentWaiting(request.rank(), nowMs),
         isPassedByLessUrgent(request, nowMs),
-        expectedWaitMs(request, lineWork, price, load, nowMs),
+        estimator.expectedWaitMs(request, lineWork, price, slots(load, nowMs), nowMs),
         drain.meanMs());
   }
 
@@ -125,47 +117,18 @@
         .anyMatch(sentMs -> nowMs - sentMs < RECENTLY_SENT_MS);
   }
 
-  /** Returns the expected wait, zero if the drain rate is unknown. */
-  private long expectedWaitMs(
-      final DispatchRequest request,
-      final double lineWork,
-      final ToDoubleFunction<Optional<OrganisationId>> price,
-      final ServiceLoad load,
-      final long nowMs) {
-    final int places = load.room().places();
-    final double slots = Math.max(load.ownPart(places), demandShare(load, nowMs) * places);
-    final double rate = drain.workPerMs(slots, nowMs);
-    if (rate == 0 || queue.isEmpty()) {
-      return 0;
-    }
-    final double free = Math.max(MIN_FREE_SHARE * rate, rate - urgentRate(request.rank(), nowMs));
-    final double shortestMs = queue.workAhead(request, lineWork, price, organisation -> 0) / free;
-    // What arrives meanwhile for organisations with less work done goes first as well.
-    final double expected =
-        queue.workAhead(
-            request,
-            lineWork,
-            price,
-            organisation -> ledger.askedPerMs(organisation, nowMs) * shortestMs);
-    return Math.round(expected / free);
-  }
-
-  /** Returns the work of more urgent ranks that arrives per millisecond and goes first. */
-  private double urgentRate(final int rank, final long nowMs) {
-    return askedByRank.headMap(rank, false).values().stream()
-            .mapToDouble(asked -> asked.at(nowMs))
-            .sum()
-        / ASKED_DECAY_MS;
-  }
-
   private boolean hasRoom(final DispatchRequest request, final ServiceLoad load, final long nowMs) {
     final boolean urgent =
-        nextMs < nowMs + MAX_AHEAD_MS
-            && askedByRank.tailMap(request.rank(), false).values().stream()
-                .anyMatch(asked -> asked.at(nowMs) >= request.work());
+        nextMs < nowMs + MAX_AHEAD_MS && estimator.isLessUrgentAskedFor(request, nowMs);
     return policy.hasRoom(load, demandShare(load, nowMs), nowMs >= nextMs, urgent);
   }
 
+  /** Returns the slots that this gateway may expect to use. */
+  private double slots(final ServiceLoad load, final long nowMs) {
+    final int places = load.room().places();
+    return Math.max(load.ownPart(places), demandShare(load, nowMs) * places);
+  }
+
   private double demandShare(final ServiceLoad load, final long nowMs) {
     final double own = 1.0 + load.ownInFlight() + queue.size();
     return own / (own + load.peersInFlight() + peers.waiting(nowMs));
@@ -272,7 +235,7 @@
                 true,
                 false,
                 isPassedByLessUrgent(request, nowMs),
-                expectedWaitMs(request, lineWork, price, load, nowMs),
+                estimator.expectedWaitMs(request, lineWork, price, slots(load, nowMs), nowMs),
                 drain.meanMs());
         final boolean expired = nowMs >= policy.latestStartMs(request, outlook.meanMs());
         final boolean hopeless =
