--- a/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchPolicy.java
@@ -13,6 +13,12 @@
   /** The share of an expected wait that must exceed the time left before a request is rejected. */
   private static final double TRUST = 0.85;
 
+  /**
+   * The same for a request that has waited for half of the time that it may: a rejection costs its
+   * caller more with each moment, and estimates are more often too short than too long.
+   */
+  private static final double LATE_TRUST = 1.2;
+
   /**
    * The share of a prefill backlog that is counted as certain: engines prefill up to a third faster
    * than their data sheet says.
@@ -198,7 +204,9 @@
    */
   boolean isTooLate(
       final DispatchRequest request, final long waitMs, final Outlook outlook, final long nowMs) {
-    return waitMs > 0 && nowMs + TRUST * waitMs > latestStartMs(request, outlook.meanMs());
+    final long latestMs = latestStartMs(request, outlook.meanMs());
+    final boolean halfPassed = 2 * nowMs > latestMs + request.arrivedMs();
+    return waitMs > 0 && nowMs + (halfPassed ? LATE_TRUST : TRUST) * waitMs > latestMs;
   }
 
   /**
