--- a/src/main/java/org/bulrushweir/gateway/EvacuationMonitor.java
+++ b/src/main/java/org/bulrushweir/gateway/EvacuationMonitor.java
@@ -158,7 +158,7 @@
   }
 
   private int requestsIn(final ZoneName zone) {
-    return tracker.ownInFlight(zone);
+    return tracker.ownInFlightInZone(zone);
   }
 
   /** An evacuation that was logged. */
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.balancing.EndpointFilter;
@@ -15,6 +16,7 @@
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EvacuatedZones;
 import org.bulrushweir.catalog.ServicePlan;
+import org.bulrushweir.dispatch.DispatchPolicy;
 import org.bulrushweir.kernel.KernelService;
 import org.bulrushweir.kernel.PeriodicTask;
 import org.bulrushweir.kernel.StopSignal;
@@ -133,6 +135,7 @@
     this.pool = new ConnectionPool(loops.group(), clock, requestLog::recordUnexpectedBytes);
     final FollowerFactory tables =
         new FollowerFactory(feed, settings.sharedReading(), metrics, loop, clock);
+    final DispatchGate dispatch = dispatchGate(tracker);
     this.mesh =
         new PeerMesh(
             settings.node(),
@@ -143,7 +146,7 @@
             retryBudget,
             quarantine,
             loop,
-            reportSections(zones, tables));
+            reportSections(zones, tables, dispatch));
     final AttemptPlanner planner = planner(directory, tracker, retryBudget);
     this.core =
         new GatewayCore(
@@ -156,6 +159,7 @@
             new RequestAdmission(clock, activePlan, planner, drainPolicy),
             gate,
             loops.polls(),
+            dispatch,
             requestLog);
     final PeerRegistration registration =
         new PeerRegistration(settings.node(), tables.feed(), mesh, loop);
@@ -167,8 +171,10 @@
   }
 
   private List<ReportSection> reportSections(
-      final EvacuatedZones zones, final FollowerFactory tables) {
-    final List<ReportSection> sections = new ArrayList<>(List.of(tables.section(), coldStart));
+      final EvacuatedZones zones, final FollowerFactory tables, final DispatchGate dispatch) {
+    final List<ReportSection> sections =
+        new ArrayList<>(
+            List.of(tables.section(), coldStart, new DemandSection(dispatch.services())));
     if (settings.evacuationMs().isPresent()) {
       sections.add(new EvacuationReportSection(zones, evacuation));
     }
@@ -198,6 +204,22 @@
             mesh::reportSoon));
   }
 
+  private DispatchGate dispatchGate(final EndpointTracker tracker) {
+    final DispatchGate dispatch =
+        new DispatchGate(
+            settings.dispatch(),
+            new DispatchPolicy(settings.dispatch(), () -> ThreadLocalRandom.current().nextDouble()),
+            clock,
+            loops.loop(),
+            tracker,
+            metrics.queue());
+    metrics.gauge(
+        "bulrushweir_gateway_queued_requests",
+        "Requests that wait for room at their service.",
+        dispatch::waiting);
+    return dispatch;
+  }
+
   private AttemptPlanner planner(
       final EndpointDirectory directory,
       final EndpointTracker tracker,
--- a/src/main/java/org/bulrushweir/settings/GatewaySettings.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettings.java
@@ -8,6 +8,7 @@
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
 import org.bulrushweir.coldstart.ColdSettings;
+import org.bulrushweir.dispatch.DispatchSettings;
 
 /**
  * Holds the settings of a gateway, a router that sends requests to endpoints without a sidecar.
@@ -29,6 +30,7 @@
  * @param evacuationMs the time after which an evacuation of a zone must be in force, in
  *     milliseconds, empty if operators evacuate no zones
  * @param cold the settings of the limit on what cold endpoints get, empty for no limit
+ * @param dispatch the settings of queueing
  * @param logFormat the format of log records
  * @param logLevel the minimum severity of log records that are written
  */
@@ -47,5 +49,6 @@
     SelectorSettings selector,
     OptionalLong evacuationMs,
     Optional<ColdSettings> cold,
+    DispatchSettings dispatch,
     LogFormat logFormat,
     LogLevel logLevel) {}
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -13,6 +13,7 @@
 import org.bulrushweir.balancing.RetryBudgetSettings;
 import org.bulrushweir.balancing.SelectorSettings;
 import org.bulrushweir.coldstart.ColdSettings;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.toml.TomlReader;
 
 /** Parses and validates the settings of a gateway. */
@@ -65,6 +66,9 @@
   /** The maximum number of further requests in a second to a cold endpoint. */
   private static final double MAXIMUM_COLD_SLACK = 10_000;
 
+  /** The maximum number of requests that endpoints may have, as a multiple of their slots. */
+  private static final double MAXIMUM_SLOT_MULTIPLE = 10;
+
   private static final double MS_PER_SECOND = 1_000;
 
   private final FindingCollector findings = new FindingCollector();
@@ -104,6 +108,7 @@
     final SelectorSettings selector = selector(root.table("selection"));
     final OptionalLong evacuationMs = evacuationMs(root.table("zones"));
     final Optional<ColdSettings> cold = readCold(root.table("cold"));
+    final DispatchSettings dispatch = dispatch(root.table("dispatch"));
     final TomlReader log = root.table("log");
     final LogFormat format = log.enumValue("format", LogFormat.class, LogFormat.JSON);
     final LogLevel level = log.enumValue("level", LogLevel.class, LogLevel.INFO);
@@ -124,6 +129,7 @@
         selector,
         evacuationMs,
         cold,
+        dispatch,
         format,
         level);
   }
@@ -169,6 +175,13 @@
         : OptionalLong.empty();
   }
 
+  private static DispatchSettings dispatch(final TomlReader reader) {
+    return new DispatchSettings(
+        reader.flag("queue", DispatchSettings.OFF.queue()),
+        reader.number(
+            "slot_multiple", DispatchSettings.OFF.slotMultiple(), 1, MAXIMUM_SLOT_MULTIPLE));
+  }
+
   private String name(final String key) {
     final String text = root.text(key);
     if (!text.isEmpty() && !Identifiers.isValid(text)) {
--- a/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
+++ b/src/test/java/org/bulrushweir/architecture/PackageRulesTest.java
@@ -27,6 +27,7 @@
     "org.bulrushweir.coldstart..",
     "org.bulrushweir.configuration..",
     "org.bulrushweir.delivery..",
+    "org.bulrushweir.dispatch..",
     "org.bulrushweir.membership..",
     "org.bulrushweir.placement..",
     "org.bulrushweir.quarantine..",
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -34,6 +34,7 @@
 import org.bulrushweir.coldstart.ColdBudget;
 import org.bulrushweir.coldstart.ColdEndpoints;
 import org.bulrushweir.coldstart.GatewayView;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.platform.ExampleConfiguration;
 import org.bulrushweir.platform.RoutingPlanDecoder;
 import org.bulrushweir.relay.PollMonitor;
@@ -64,6 +65,8 @@
   private final StringBuilder received = new StringBuilder();
   private final Deque<String> unread = new ArrayDeque<>();
   private final StartGate gate;
+  private final ActivePlan plan = new ActivePlan();
+  private final GatewayCore core;
   private boolean closeUnread;
   private final EmbeddedChannel caller;
 
@@ -84,6 +87,17 @@
    * @param gate the start gate
    */
   EmbeddedGateway(final RequestLog log, final StartGate gate) {
+    this(log, gate, DispatchSettings.OFF);
+  }
+
+  /**
+   * Creates a gateway with settings of its queue.
+   *
+   * @param log counts and logs requests
+   * @param gate the start gate
+   * @param settings whether and when requests wait for room
+   */
+  EmbeddedGateway(final RequestLog log, final StartGate gate, final DispatchSettings settings) {
     this(
         log,
         gate,
@@ -91,7 +105,8 @@
         new ColdBudget(
             new ColdEndpoints(),
             new GatewayView(new NodeId("gateway-1")),
-            service -> OptionalInt.empty()));
+            service -> OptionalInt.empty()),
+        settings);
   }
 
   /**
@@ -102,7 +117,12 @@
    * @param coldBudget the limit
    */
   EmbeddedGateway(final RequestLog log, final EndpointFilter filter, final ColdBudget coldBudget) {
-    this(log, new StartGate(EnumSet.of(SharedTable.ENDPOINTS)), filter, coldBudget);
+    this(
+        log,
+        new StartGate(EnumSet.of(SharedTable.ENDPOINTS)),
+        filter,
+        coldBudget,
+        DispatchSettings.OFF);
     GatewayCoreFixture.open(gate, directory);
   }
 
@@ -110,33 +130,50 @@
       final RequestLog log,
       final StartGate gate,
       final EndpointFilter filter,
-      final ColdBudget coldBudget) {
+      final ColdBudget coldBudget,
+      final DispatchSettings settings) {
     this.gate = gate;
-    final ActivePlan plan = new ActivePlan();
     plan.adoptIfNewer(PLAN);
     plan.recordRead(1, START_MS);
-    final GatewayCore core =
+    final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1, filter);
+    core =
         GatewayCoreFixture.create(
             directory,
-            new EndpointTracker(directory, service -> 0, 1, filter),
+            tracker,
             now::get,
             gate,
             plan,
             timers.eventLoop(),
             pool,
             polls,
+            GatewayCoreFixture.dispatchGate(settings, now::get, timers.eventLoop(), tracker),
             log,
             coldBudget);
+    caller = openCaller();
+  }
+
+  /** Opens the connection of another caller. */
+  EmbeddedChannel openCaller() {
     final UnreadTime unread = new UnreadTime(polls, now::get);
     final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
     final CallerRequestDecoder decoder = new CallerRequestDecoder(core.limits().maxHeaderBytes());
-    caller =
-        new EmbeddedChannel(
-            headTimer.beforeDecoder(decoder),
-            decoder,
-            headTimer.afterDecoder(),
-            new HttpResponseEncoder(),
-            new CallerHandler(core, headTimer, unread));
+    return new EmbeddedChannel(
+        headTimer.beforeDecoder(decoder),
+        decoder,
+        headTimer.afterDecoder(),
+        new HttpResponseEncoder(),
+        new CallerHandler(core, headTimer, unread));
+  }
+
+  /** Adopts a newer plan. */
+  void adopt(final RoutingPlan newer) {
+    plan.adoptIfNewer(newer);
+  }
+
+  /** Stops the process without waiting for anything. */
+  void exit() {
+    core.startDraining(now.get());
+    core.startExit();
   }
 
   /**
@@ -146,6 +183,11 @@
    * @param reused whether the connection has carried another request before
    */
   void addEndpoint(final ServiceName service, final boolean reused) {
+    addEndpoint(service, reused, 8);
+  }
+
+  /** Adds an endpoint with one open connection and a number of slots. */
+  void addEndpoint(final ServiceName service, final boolean reused, final int slots) {
     final int number = endpoints.size() + 1;
     final EndpointRecord endpoint =
         new EndpointRecord(
@@ -154,7 +196,7 @@
             "127.0.0.1",
             number,
             new ZoneName("zone-1"),
-            8,
+            slots,
             false,
             1);
     directory.put(endpoint);
@@ -289,7 +331,8 @@
     return caller.isOpen();
   }
 
-  private static String takeOutbound(final EmbeddedChannel channel) {
+  /** Takes all bytes that were written to a connection. */
+  static String takeOutbound(final EmbeddedChannel channel) {
     final StringBuilder text = new StringBuilder();
     for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
       text.append(part.toString(StandardCharsets.ISO_8859_1));
--- a/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
+++ b/src/test/java/org/bulrushweir/gateway/GatewayCoreFixture.java
@@ -17,6 +17,8 @@
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.coldstart.ColdBudget;
+import org.bulrushweir.dispatch.DispatchPolicy;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.quarantine.PromptQuarantine;
 import org.bulrushweir.relay.DrainPolicy;
@@ -73,6 +75,7 @@
         null,
         null,
         new PollMonitor(clock.nowMs()),
+        dispatchGate(DispatchSettings.OFF, clock, null, tracker),
         requestLog(writer));
   }
 
@@ -86,10 +89,12 @@
       final EventLoop loop,
       final ConnectionPool pool,
       final PollMonitor polls,
+      final DispatchGate dispatch,
       final RequestLog log) {
     final ColdBudget unlimited =
         new ColdStartMonitor(NODE, Optional.empty(), activePlan, clock).budget();
-    return create(directory, tracker, clock, gate, activePlan, loop, pool, polls, log, unlimited);
+    return create(
+        directory, tracker, clock, gate, activePlan, loop, pool, polls, dispatch, log, unlimited);
   }
 
   /** Creates the core with a limit on what cold endpoints get. */
@@ -102,6 +107,7 @@
       final EventLoop loop,
       final ConnectionPool pool,
       final PollMonitor polls,
+      final DispatchGate dispatch,
       final RequestLog log,
       final ColdBudget coldBudget) {
     final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0.1, 10, 10_000));
@@ -131,6 +137,22 @@
         new RequestAdmission(clock, activePlan, planner, new DrainPolicy(1_000)),
         gate,
         polls,
+        dispatch,
         log);
   }
+
+  /** Creates a gate that holds requests as the settings say. */
+  static DispatchGate dispatchGate(
+      final DispatchSettings settings,
+      final Clock clock,
+      final EventLoop loop,
+      final EndpointTracker tracker) {
+    return new DispatchGate(
+        settings,
+        new DispatchPolicy(settings, () -> 0),
+        clock,
+        loop,
+        tracker,
+        new GatewayMetrics().queue());
+  }
 }
