--- a/src/test/java/org/bulrushweir/balancing/EvacuatedEndpointTest.java
+++ b/src/test/java/org/bulrushweir/balancing/EvacuatedEndpointTest.java
@@ -73,8 +73,8 @@
       tracker.recordAttempt(other, List.of(), Optional.empty(), 0);
     }
     assertEquals(10, tracker.recordAttempt(other, PROMPT, Optional.empty(), 0).meanInFlight());
-    assertEquals(0, tracker.ownInFlight(EVACUATED));
-    assertEquals(11, tracker.ownInFlight(OTHER));
+    assertEquals(0, tracker.ownInFlightInZone(EVACUATED));
+    assertEquals(11, tracker.ownInFlightInZone(OTHER));
   }
 
   @Test
--- a/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
@@ -29,6 +29,7 @@
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
 import org.bulrushweir.catalog.WeightedService;
+import org.bulrushweir.dispatch.DispatchSettings;
 import org.bulrushweir.logging.AsyncLogWriter;
 import org.bulrushweir.relay.AttemptId;
 import org.bulrushweir.relay.EventStreamFramer;
@@ -140,6 +141,8 @@
                 timers.eventLoop(),
                 pool,
                 polls,
+                GatewayCoreFixture.dispatchGate(
+                    DispatchSettings.OFF, () -> 0, timers.eventLoop(), tracker),
                 GatewayCoreFixture.requestLog(log)),
             routedRequest(),
             caller,
