--- a/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
+++ b/src/main/java/org/bulrushweir/catalog/EndpointDirectory.java
@@ -220,7 +220,8 @@
   /**
    * Records that the store is unreachable.
    *
-   * @param calledAtMs the start of the store request that was not answered, in Unix milliseconds
+   * @param calledAtMs the start of the store request that was not answered, or a later time as of
+   *     which the store is known to have answered others, in Unix milliseconds
    */
   public void markStoreUnreachable(final long calledAtMs) {
     storeReachable = false;
--- a/src/main/java/org/bulrushweir/gateway/PeerMesh.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerMesh.java
@@ -70,6 +70,7 @@
   private long sequence;
   private long lastSentMs;
   private boolean reportScheduled;
+  private boolean left;
 
   /**
    * Creates a mesh without peers.
@@ -215,12 +216,18 @@
   }
 
   /**
-   * Sends a report to the peers. Requires a socket that was set by {@link #socketBound}.
+   * Sends a report to the peers, unless this process has told them that it leaves. Requires a
+   * socket that was set by {@link #socketBound}.
    *
    * @param leaving whether this process is about to stop and this is its last report
    */
   void sendReport(final boolean leaving) {
     reportScheduled = false;
+    if (left) {
+      // A later report would add this process to its peers again.
+      return;
+    }
+    left = leaving;
     lastSentMs = clock.nowMs();
     sequence++;
     final PeerReport report =
--- a/src/test/java/org/bulrushweir/gateway/PeerMeshTest.java
+++ b/src/test/java/org/bulrushweir/gateway/PeerMeshTest.java
@@ -86,4 +86,15 @@
             row("not a name", HOST + ":80")));
     assertPeerIsReached();
   }
+
+  /** Guards against an early report after the last one, which would add the process again. */
+  @Test
+  void nothingIsReportedAfterTheLastReport() throws InterruptedException {
+    mesh.socketBound(own);
+    assertPeerIsReached();
+    mesh.sendReport(true);
+    assertEquals(true, received.poll(5, TimeUnit.SECONDS) != null, "the last report must arrive");
+    mesh.sendReport(false);
+    assertEquals(null, received.poll(300, TimeUnit.MILLISECONDS));
+  }
 }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of settings. */
+package org.bulrushweir.settings;
