--- /dev/null
+++ b/src/main/java/org/bulrushweir/balancing/CallCost.java
@@ -0,0 +1,67 @@
+package org.bulrushweir.balancing;
+
+import java.util.function.ToDoubleFunction;
+import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.routing.BitMixer;
+
+/**
+ * The cost of an endpoint for a call: the expected time until the call ends, relative to the mean
+ * time of the service's calls.
+ */
+final class CallCost implements ToDoubleFunction<EndpointState> {
+
+  /** The delay of an endpoint in another availability zone, in milliseconds: a round trip. */
+  private static final double OTHER_ZONE_MS = 3;
+
+  /** The mean time that is assumed while no call has been measured, in milliseconds. */
+  private static final double DEFAULT_MEAN_MS = 30;
+
+  /** The least cost of an endpoint in another availability zone, relative to the mean time. */
+  private static final double MIN_OTHER_ZONE_COST = 0.1;
+
+  /**
+   * The range of the random term, relative to the mean time. Gateways learn of each other's calls
+   * and of slow endpoints at about the same times; without it they all choose the same endpoint.
+   */
+  private static final double SPREAD = 0.75;
+
+  /**
+   * The age at which a peer's report counts no more, relative to the mean time. Older reports name
+   * calls that have ended, and keep all gateways away from endpoints that are idle by now.
+   */
+  private static final double PEER_MEMORY = 0.75;
+
+  private final ZoneName zone;
+  private final double otherZoneCost;
+  private final double memoryMs;
+  private final long draw;
+  private final long nowMs;
+
+  /**
+   * Creates the cost for one selection.
+   *
+   * @param zone this gateway's availability zone
+   * @param meanMs the mean time of the service's calls in milliseconds, zero if it is unknown
+   * @param draw a pseudo-random number
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  CallCost(final ZoneName zone, final double meanMs, final long draw, final long nowMs) {
+    this.zone = zone;
+    final double usualMs = meanMs > 0 ? meanMs : DEFAULT_MEAN_MS;
+    this.otherZoneCost = Math.max(MIN_OTHER_ZONE_COST, OTHER_ZONE_MS / usualMs);
+    this.memoryMs = PEER_MEMORY * usualMs;
+    this.draw = draw;
+    this.nowMs = nowMs;
+  }
+
+  @Override
+  public double applyAsDouble(final EndpointState state) {
+    final double ahead = state.recentInFlight(memoryMs, nowMs) / Math.max(1, state.entry().slots());
+    final double zoneCost = state.entry().zone().equals(zone) ? 0 : otherZoneCost;
+    return (ahead + 1) * state.pace().at(nowMs) + zoneCost + spread(state);
+  }
+
+  private double spread(final EndpointState state) {
+    return SPREAD * (BitMixer.mix(draw ^ state.key()) >>> 1) / Long.MAX_VALUE;
+  }
+}
--- a/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointHealth.java
@@ -35,6 +35,22 @@
   private boolean probing;
   private boolean unreachable;
 
+  /**
+   * Records the end of an attempt.
+   *
+   * @param outcome the outcome of the attempt
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  void record(final AttemptOutcome outcome, final long nowMs) {
+    if (outcome == AttemptOutcome.ANSWERED) {
+      recordSuccess(nowMs);
+    } else if (outcome == AttemptOutcome.FAILED) {
+      recordFailure(nowMs);
+    } else if (outcome == AttemptOutcome.UNREACHABLE) {
+      recordUnreachable(nowMs);
+    }
+  }
+
   /**
    * Records an attempt that succeeded.
    *
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -26,30 +26,12 @@
  */
 public final class EndpointSelector {
 
-  /** The weight of the prefill of a token that no engine has cached. */
-  private static final double MISS_WEIGHT = 4;
-
-  /** The weight of a token that another engine transfers. */
-  private static final double TRANSFER_WEIGHT = 1;
-
-  /**
-   * The share of the prefill of the shared segments that is not charged to the engine that hashing
-   * assigns, while no engine has cached all of these segments.
-   */
-  private static final double HASH_OWNER_CREDIT = 0.6;
-
   /**
    * The tokens that the owners of a first segment may prefill for it together, as a share of the
    * shared segments of one prompt.
    */
   private static final double OWNERS_COST_SHARE = 0.5;
 
-  /** The delay that each in-flight request adds to the others of its engine, in milliseconds. */
-  private static final double RUNNING_MS = 1;
-
-  /** The cost of an engine in another availability zone, in milliseconds: a round trip. */
-  private static final double OTHER_ZONE_MS = 3;
-
   /**
    * The number of requests that is added to the load bound, so that an engine can serve a few
    * requests while the mean load is low.
@@ -97,23 +79,78 @@
       final long draw,
       final Set<EndpointId> excluded,
       final long nowMs) {
+    return choose(new RequestProfile(service, prompt, 0, Long.MAX_VALUE), draw, excluded, nowMs);
+  }
+
+  /**
+   * Selects an endpoint.
+   *
+   * @param request the request
+   * @param draw a pseudo-random number that breaks ties between endpoints of a call
+   * @param excluded the endpoints that were already tried, including unreachable ones
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the endpoint, empty if no endpoint is left that accepts new requests
+   */
+  public Optional<EndpointId> choose(
+      final RequestProfile request,
+      final long draw,
+      final Set<EndpointId> excluded,
+      final long nowMs) {
+    final ServiceName service = request.service();
+    final List<PromptSegment> prompt = request.prompt();
     final List<EndpointState> candidates = tracker.candidates(service, nowMs);
     final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
     if (prompt.isEmpty()) {
-      return best(candidates, excluded, state -> callCost(state, draw, nowMs), ejection, nowMs);
+      final ToDoubleFunction<EndpointState> cost =
+          settings.statedLoad()
+              ? new CallCost(zone, tracker.observations().callMeanMs(service), draw, nowMs)
+              : state -> callCost(state, draw, nowMs);
+      return best(candidates, excluded, cost, ejection, nowMs);
     }
     final double bound = bound(candidates, nowMs);
     final EndpointState hashOwner = hashOwner(candidates, prompt, ejection);
-    final int maxCached = tracker.maxPrefilledTokens(service, prompt, nowMs);
-    return best(
-        candidates,
-        excluded,
-        state ->
-            state.inFlight(nowMs) >= bound
-                ? bound + state.inFlight(nowMs) * settings.overBoundMs()
-                : promptCost(state, prompt, hashOwner, maxCached, nowMs),
-        ejection,
-        nowMs);
+    final int maxCached = tracker.states().maxPrefilledTokens(service, prompt, nowMs);
+    final PromptCost cost =
+        new PromptCost(
+            settings,
+            zone,
+            request,
+            hashOwner,
+            bound,
+            tracker.states().kvCapacityTokens(service),
+            maxCached,
+            nowMs);
+    return best(candidates, excluded, cost, ejection, nowMs);
+  }
+
+  /**
+   * Returns the rank of a request at an engine.
+   *
+   * @param configured the configured rank, 0 is the most urgent
+   * @param request the request
+   * @param prefillTokens the number of prompt tokens that the engine has to prefill
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the rank, 0 is the most urgent
+   */
+  public int engineRank(
+      final int configured,
+      final RequestProfile request,
+      final long prefillTokens,
+      final long nowMs) {
+    if (!settings.statedLoad() || request.prompt().isEmpty()) {
+      return configured;
+    }
+    return EngineRank.rank(
+        configured, prefillTokens / settings.prefillTokensPerMs(), request.targetAtMs() - nowMs);
+  }
+
+  /**
+   * Returns whether the selection uses what endpoints state about their load.
+   *
+   * @return true if it does
+   */
+  public boolean usesStatedLoad() {
+    return settings.statedLoad();
   }
 
   /**
@@ -151,32 +188,11 @@
     return used + zoneCost + unitFraction(draw ^ state.key()) * settings.tieShare();
   }
 
-  private double promptCost(
-      final EndpointState state,
-      final List<PromptSegment> prompt,
-      final EndpointState hashOwner,
-      final int maxCached,
-      final long nowMs) {
-    final long total = PromptSegment.tokens(prompt);
-    final long shared = total - prompt.getLast().tokens();
-    final int cached = state.prefixCache().cachedTokens(prompt);
-    final int transferred = Math.max(0, maxCached - cached);
-    double missed = total - cached - transferred;
-    if (state == hashOwner && maxCached < shared) {
-      missed -= HASH_OWNER_CREDIT * (shared - maxCached);
-    }
-    final double prefillMs =
-        (MISS_WEIGHT * missed + TRANSFER_WEIGHT * transferred + state.pendingTokens(nowMs))
-            / settings.prefillTokensPerMs();
-    final double zoneMs = state.entry().zone().equals(zone) ? 0 : OTHER_ZONE_MS;
-    return prefillMs + RUNNING_MS * state.inFlight(nowMs) + zoneMs;
-  }
-
   /**
    * Returns the number of in-flight requests from which other engines are preferred to an engine.
    */
   private double bound(final List<EndpointState> candidates, final long nowMs) {
-    final double mean = EndpointTracker.meanInFlight(candidates, nowMs);
+    final double mean = EndpointStates.meanInFlight(candidates, nowMs);
     return BOUND_SHARE * settings.loadMultiple() * mean + BOUND_ALLOWANCE;
   }
 
--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -17,11 +17,18 @@
 
   private final Map<NodeId, TimedLoad> peerLoads = new HashMap<>();
   private final EndpointHealth health = new EndpointHealth();
+  private final EndpointPace pace = new EndpointPace();
   private final PrefixCacheModel prefixCache;
   private final long key;
   private EndpointRecord entry;
   private int inFlight;
   private long pendingTokens;
+  private long heldTokens;
+  private long newestPeerLoadMs;
+  private long peerSumsAtMs = Long.MIN_VALUE;
+  private int peerInFlight;
+  private long peerPendingTokens;
+  private long peerHeldTokens;
 
   /**
    * Creates the state of an endpoint without load and with an empty cache.
@@ -60,6 +67,10 @@
     return health;
   }
 
+  EndpointPace pace() {
+    return pace;
+  }
+
   PrefixCacheModel prefixCache() {
     return prefixCache;
   }
@@ -72,11 +83,19 @@
     return pendingTokens;
   }
 
+  long ownHeldTokens() {
+    return heldTokens;
+  }
+
   void adjustLoad(final int requests, final long tokens) {
     inFlight += requests;
     pendingTokens += tokens;
   }
 
+  void adjustHeldTokens(final long tokens) {
+    heldTokens += tokens;
+  }
+
   /**
    * Replaces the load that a peer reports for this endpoint.
    *
@@ -85,10 +104,12 @@
    * @param nowMs the current time, in Unix milliseconds
    */
   void updatePeerLoad(final NodeId peer, final PeerLoad load, final long nowMs) {
+    peerSumsAtMs = Long.MIN_VALUE;
     if (load == null) {
       peerLoads.remove(peer);
       return;
     }
+    newestPeerLoadMs = nowMs;
     peerLoads.put(peer, new TimedLoad(load, nowMs));
   }
 
@@ -99,11 +120,8 @@
    * @return the own requests and those in the valid reports of peers
    */
   int inFlight(final long nowMs) {
-    int sum = inFlight;
-    for (final TimedLoad load : peerLoads.values()) {
-      sum += load.isValid(nowMs) ? load.load().inFlight() : 0;
-    }
-    return sum;
+    updatePeerSums(nowMs);
+    return inFlight + peerInFlight;
   }
 
   /**
@@ -113,13 +131,59 @@
    * @return the own tokens and those in the valid reports of peers
    */
   long pendingTokens(final long nowMs) {
-    long sum = pendingTokens;
+    updatePeerSums(nowMs);
+    return pendingTokens + peerPendingTokens;
+  }
+
+  /**
+   * Returns the number of tokens that the requests of all gateways occupy in the KV cache at most.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the own tokens and those in the valid reports of peers
+   */
+  long heldTokens(final long nowMs) {
+    updatePeerSums(nowMs);
+    return heldTokens + peerHeldTokens;
+  }
+
+  /**
+   * Returns the number of in-flight calls, where a call in a peer's report counts the less the
+   * older the report is: it has probably ended since.
+   *
+   * @param memoryMs the age at which a report counts no more, in milliseconds
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the own calls and the expected remainder of those of peers
+   */
+  double recentInFlight(final double memoryMs, final long nowMs) {
+    double sum = inFlight;
+    if (nowMs - newestPeerLoadMs >= memoryMs) {
+      return sum;
+    }
     for (final TimedLoad load : peerLoads.values()) {
-      sum += load.isValid(nowMs) ? load.load().pendingTokens() : 0;
+      final double left = 1 - (nowMs - load.receivedAtMs()) / memoryMs;
+      sum += Math.max(0, left) * load.load().inFlight();
     }
     return sum;
   }
 
+  /** Adds up the loads of the peers once per millisecond: a selection asks for them repeatedly. */
+  private void updatePeerSums(final long nowMs) {
+    if (peerSumsAtMs == nowMs) {
+      return;
+    }
+    peerSumsAtMs = nowMs;
+    peerInFlight = 0;
+    peerPendingTokens = 0;
+    peerHeldTokens = 0;
+    for (final TimedLoad load : peerLoads.values()) {
+      if (load.isValid(nowMs)) {
+        peerInFlight += load.load().inFlight();
+        peerPendingTokens += load.load().pendingTokens();
+        peerHeldTokens += load.load().heldTokens();
+      }
+    }
+  }
+
   boolean isSuspect(final long nowMs) {
     return health.isSuspect(inFlight, nowMs);
   }
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -1,14 +1,10 @@
 package org.bulrushweir.balancing;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.bulrushweir.api.EndpointId;
-import org.bulrushweir.api.NodeId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.catalog.EndpointDirectory;
 import org.bulrushweir.catalog.EndpointRecord;
@@ -20,54 +16,12 @@
  */
 public final class EndpointTracker {
 
-  /**
-   * The share of an engine's KV cache that holds prompt segments of finished requests. The running
-   * requests need the rest.
-   */
-  private static final double PREFIX_CACHE_SHARE = 0.8;
-
-  /**
-   * The KV cache capacity that is assumed while the plan does not state it, in tokens: that of a
-   * small engine.
-   */
-  private static final long DEFAULT_KV_CAPACITY_TOKENS = 200_000;
-
-  /**
-   * The smallest number of tokens that is worth a KV cache transfer. An engine prefills fewer
-   * tokens as fast as it receives them.
-   */
-  private static final int MIN_TRANSFER_TOKENS = 256;
-
-  /**
-   * The smallest number of tokens for which a request waits while its engine prefills them for
-   * another request. Prefilling fewer tokens takes only a few milliseconds.
-   */
-  private static final int MIN_AWAITED_TOKENS = 512;
-
-  /** The number of unreported prefill tokens from which a report to the peers is sent at once. */
-  private static final int MIN_URGENT_TOKENS = 1_500;
-
-  /**
-   * The longest wait for segments that are being prefilled, in milliseconds: half of a strict
-   * target for the time to first token.
-   */
-  private static final long MAX_AWAIT_MS = 250;
-
-  /**
-   * The factor by which a prefill takes longer than its tokens alone require, because the engine
-   * also generates tokens for its running requests meanwhile.
-   */
-  private static final double PREFILL_SLOWDOWN = 1.25;
-
-  private final Map<EndpointId, EndpointState> states = new HashMap<>();
-  private final Map<NodeId, ReportOrder> latestReports = new HashMap<>();
-  private final List<PeerReport.Placement> placements = new ArrayList<>();
   private final EndpointDirectory directory;
-  private final KvCapacity kvCapacity;
-  private final double prefillTokensPerMs;
+  private final EndpointStates states;
+  private final PrefillRecorder prefills;
+  private final LoadReports reports;
+  private final EndpointObservations observations;
   private final EndpointFilter filter;
-  private long seenChangeCount = -1;
-  private long unreportedPrefillTokens;
 
   /**
    * Creates a tracker without any load.
@@ -97,52 +51,13 @@
       final double prefillTokensPerMs,
       final EndpointFilter filter) {
     this.directory = directory;
-    this.kvCapacity = kvCapacity;
-    this.prefillTokensPerMs = prefillTokensPerMs;
+    this.states = new EndpointStates(directory, kvCapacity);
+    this.prefills = new PrefillRecorder(prefillTokensPerMs);
+    this.reports = new LoadReports(states);
+    this.observations = new EndpointObservations(states, prefills);
     this.filter = filter;
   }
 
-  /** Supplies the KV cache capacity of the engines of a service. */
-  @FunctionalInterface
-  public interface KvCapacity {
-
-    /**
-     * Returns the KV cache capacity of each engine of a service.
-     *
-     * @param service the service
-     * @return the capacity in tokens, zero if it is unknown
-     */
-    long tokens(ServiceName service);
-  }
-
-  /** Synchronizes the states with the directory if it has changed since the last call. */
-  private void refresh() {
-    if (seenChangeCount == directory.changeCount()) {
-      return;
-    }
-    seenChangeCount = directory.changeCount();
-    final Set<EndpointId> listed = new HashSet<>();
-    for (final EndpointRecord entry : directory.all()) {
-      listed.add(entry.id());
-      final EndpointState existing = states.get(entry.id());
-      if (existing == null || !existing.isOfRun(entry.startedAtMs())) {
-        states.put(entry.id(), new EndpointState(entry, prefixCacheTokens(entry.service())));
-      } else {
-        existing.update(entry);
-      }
-    }
-    states.values().removeIf(state -> !listed.contains(state.entry().id()) && isUnused(state));
-  }
-
-  private static boolean isUnused(final EndpointState state) {
-    return state.ownInFlight() == 0;
-  }
-
-  private long prefixCacheTokens(final ServiceName service) {
-    final long capacity = kvCapacity.tokens(service);
-    return (long) (PREFIX_CACHE_SHARE * (capacity == 0 ? DEFAULT_KV_CAPACITY_TOKENS : capacity));
-  }
-
   /**
    * Returns the states of the endpoints of a service that accept new requests.
    *
@@ -152,7 +67,7 @@
    *     none
    */
   List<EndpointState> candidates(final ServiceName service, final long nowMs) {
-    refresh();
+    states.refresh();
     final List<EndpointState> candidates = new ArrayList<>();
     for (final EndpointRecord entry : directory.endpoints(service)) {
       if (!entry.draining() && filter.accepts(entry, nowMs)) {
@@ -185,37 +100,20 @@
    * @return the room of the endpoints that accept new requests from this gateway
    */
   public ServiceRoom room(final ServiceName service, final long nowMs) {
-    int endpoints = 0;
-    int places = 0;
-    int inFlight = 0;
-    for (final EndpointState state : candidates(service, nowMs)) {
-      if (state.health().heldOffForMs(nowMs) == 0) {
-        endpoints++;
-        places += state.entry().slots();
-        inFlight += state.inFlight(nowMs);
-      }
-    }
-    return new ServiceRoom(endpoints, places, inFlight);
+    return ServiceRoom.of(candidates(service, nowMs), nowMs);
+  }
+
+  EndpointStates states() {
+    return states;
   }
 
   /**
-   * Returns the longest prefix of a prompt that any engine of a service has in its cache. Draining
-   * engines count, as they can still transfer their cache. Call {@link #candidates} first, which
-   * synchronizes the states with the directory.
+   * Returns what endpoints state about their load and how long their calls take.
    *
-   * @param service the service
-   * @param prompt the segments of the prompt in order
-   * @param nowMs the current time, in Unix milliseconds
-   * @return the number of tokens that are already prefilled, zero if no engine has the first
-   *     segment
+   * @return the observations
    */
-  int maxPrefilledTokens(
-      final ServiceName service, final List<PromptSegment> prompt, final long nowMs) {
-    int most = 0;
-    for (final EndpointRecord entry : directory.endpoints(service)) {
-      most = Math.max(most, states.get(entry.id()).prefixCache().prefilledTokens(prompt, nowMs));
-    }
-    return most;
+  public EndpointObservations observations() {
+    return observations;
   }
 
   /**
@@ -228,22 +126,30 @@
    */
   public Optional<EndpointRecord> cacheSource(
       final EndpointId endpoint, final List<PromptSegment> prompt, final long nowMs) {
-    refresh();
+    states.refresh();
     final EndpointState target = states.get(endpoint);
     if (target == null || prompt.isEmpty()) {
       return Optional.empty();
     }
-    int most = target.prefixCache().cachedTokens(prompt) + MIN_TRANSFER_TOKENS - 1;
-    EndpointRecord source = null;
-    for (final EndpointRecord entry : directory.endpoints(target.entry().service())) {
-      final EndpointState state = states.get(entry.id());
-      final int cached = state.prefixCache().prefilledTokens(prompt, nowMs);
-      if (state != target && cached > most && !state.isUnreachable(nowMs)) {
-        most = cached;
-        source = entry;
-      }
-    }
-    return Optional.ofNullable(source);
+    return states.cacheSource(target, prompt, nowMs);
+  }
+
+  /**
+   * Records that an attempt is about to be sent to an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param prompt the segments of the request's prompt in order, empty for a call
+   * @param source the engine that transfers the missing part of the prompt, empty if there is none
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the endpoint's load and cache state before this attempt, all zero if the endpoint is
+   *     not registered
+   */
+  public PlacementSnapshot recordAttempt(
+      final EndpointId endpoint,
+      final List<PromptSegment> prompt,
+      final Optional<EndpointRecord> source,
+      final long nowMs) {
+    return recordAttempt(endpoint, prompt, source, 0, nowMs);
   }
 
   /**
@@ -252,6 +158,7 @@
    * @param endpoint the endpoint
    * @param prompt the segments of the request's prompt in order, empty for a call
    * @param source the engine that transfers the missing part of the prompt, empty if there is none
+   * @param heldTokens the number of tokens that the request occupies in the KV cache at most
    * @param nowMs the current time, in Unix milliseconds
    * @return the endpoint's load and cache state before this attempt, all zero if the endpoint is
    *     not registered
@@ -260,13 +167,13 @@
       final EndpointId endpoint,
       final List<PromptSegment> prompt,
       final Optional<EndpointRecord> source,
+      final long heldTokens,
       final long nowMs) {
-    refresh();
+    states.refresh();
     final EndpointState state = states.get(endpoint);
     if (state == null) {
-      return new PlacementSnapshot(0, 0, 0, 0, 0, Optional.empty(), 0, 0);
+      return new PlacementSnapshot(0, 0, 0, 0, 0, Optional.empty(), 0, 0, 0, 0);
     }
-    final long total = PromptSegment.tokens(prompt);
     final int cached = state.prefixCache().cachedTokens(prompt);
     final int tokensAtSource =
         source
@@ -275,40 +182,23 @@
     final PlacementSnapshot snapshot =
         new PlacementSnapshot(
             state.inFlight(nowMs),
-            meanInFlight(candidates(state.entry().service(), nowMs), nowMs),
-            total,
+            EndpointStates.meanInFlight(candidates(state.entry().service(), nowMs), nowMs),
+            PromptSegment.tokens(prompt),
             cached,
             Math.max(0, tokensAtSource - cached),
             source.map(EndpointRecord::id),
             state.entry().startedAtMs(),
-            awaitMs(state, prompt, nowMs));
+            PrefillRecorder.awaitMs(state, prompt, nowMs),
+            heldTokens,
+            observations.expectedMs(state, prompt, cached, nowMs));
     state.adjustLoad(1, snapshot.prefillTokens());
+    state.adjustHeldTokens(heldTokens);
     if (!prompt.isEmpty()) {
-      final long queuedTokens = state.pendingTokens(nowMs) + snapshot.transferredTokens();
-      final long prefilledInMs = (long) (PREFILL_SLOWDOWN * queuedTokens / prefillTokensPerMs);
-      state.prefixCache().recordPrefill(prompt, nowMs + prefilledInMs);
-      placements.add(
-          new PeerReport.Placement(endpoint, PromptSegment.shared(prompt), prefilledInMs));
-      unreportedPrefillTokens += snapshot.prefillTokens() + snapshot.transferredTokens();
+      prefills.record(state, prompt, snapshot, nowMs);
     }
     return snapshot;
   }
 
-  /**
-   * Returns how long a request waits for segments that its engine prefills for another request, in
-   * milliseconds.
-   */
-  private long awaitMs(
-      final EndpointState state, final List<PromptSegment> prompt, final long nowMs) {
-    final PrefixCacheModel prefixCache = state.prefixCache();
-    final int pendingPrefixTokens =
-        prefixCache.cachedTokens(prompt) - prefixCache.prefilledTokens(prompt, nowMs);
-    if (pendingPrefixTokens < MIN_AWAITED_TOKENS) {
-      return 0;
-    }
-    return Math.min(MAX_AWAIT_MS, prefixCache.prefilledAtMs(prompt) - nowMs);
-  }
-
   /**
    * Returns whether the engines have received so many prompt tokens to prefill since the last
    * report that the peers need a report at once. Otherwise the peers might send the same prompts to
@@ -317,29 +207,7 @@
    * @return true if a report is urgent
    */
   public boolean isReportUrgent() {
-    return unreportedPrefillTokens >= MIN_URGENT_TOKENS;
-  }
-
-  /**
-   * Returns the mean number of in-flight requests of some endpoints.
-   *
-   * @param endpoints the endpoints
-   * @param nowMs the current time, in Unix milliseconds
-   * @return the mean, zero if there are no endpoints
-   */
-  static double meanInFlight(final List<EndpointState> endpoints, final long nowMs) {
-    double sum = 0;
-    for (final EndpointState state : endpoints) {
-      sum += state.inFlight(nowMs);
-    }
-    return sum / Math.max(1, endpoints.size());
-  }
-
-  /** Returns the state of a run of an endpoint, null if that run has ended or is not registered. */
-  private EndpointState stateOfRun(final EndpointId endpoint, final long startedAtMs) {
-    refresh();
-    final EndpointState state = states.get(endpoint);
-    return state == null || !state.isOfRun(startedAtMs) ? null : state;
+    return prefills.isReportUrgent();
   }
 
   /**
@@ -358,7 +226,7 @@
       final List<PromptSegment> prompt,
       final long pendingTokens,
       final long nowMs) {
-    final EndpointState state = stateOfRun(endpoint, startedAtMs);
+    final EndpointState state = states.ofRun(endpoint, startedAtMs);
     if (state != null) {
       state.adjustLoad(0, -pendingTokens);
       state.prefixCache().recordPrefill(prompt, nowMs);
@@ -381,18 +249,34 @@
       final long pendingTokens,
       final AttemptOutcome outcome,
       final long nowMs) {
-    final EndpointState state = stateOfRun(endpoint, startedAtMs);
+    recordOutcome(endpoint, startedAtMs, pendingTokens, 0, outcome, nowMs);
+  }
+
+  /**
+   * Records the end of an attempt. Without effect if the endpoint has restarted since: neither load
+   * nor failures of the run that has ended count for the new one.
+   *
+   * @param endpoint the endpoint
+   * @param startedAtMs the start of the endpoint's process when the attempt was recorded
+   * @param pendingTokens the number of tokens that are still counted as pending for the request
+   * @param heldTokens the number of tokens that were recorded as held by the request
+   * @param outcome the outcome of the attempt
+   * @param nowMs the current time, in Unix milliseconds
+   */
+  public void recordOutcome(
+      final EndpointId endpoint,
+      final long startedAtMs,
+      final long pendingTokens,
+      final long heldTokens,
+      final AttemptOutcome outcome,
+      final long nowMs) {
+    final EndpointState state = states.ofRun(endpoint, startedAtMs);
     if (state == null) {
       return;
     }
     state.adjustLoad(-1, -pendingTokens);
-    if (outcome == AttemptOutcome.ANSWERED) {
-      state.health().recordSuccess(nowMs);
-    } else if (outcome == AttemptOutcome.FAILED) {
-      state.health().recordFailure(nowMs);
-    } else if (outcome == AttemptOutcome.UNREACHABLE) {
-      state.health().recordUnreachable(nowMs);
-    }
+    state.adjustHeldTokens(-heldTokens);
+    state.health().record(outcome, nowMs);
   }
 
   /**
@@ -405,7 +289,7 @@
    * @return true if it took requests before
    */
   public boolean recordHoldOff(final EndpointRecord endpoint, final long forMs, final long nowMs) {
-    final EndpointState state = stateOfRun(endpoint.id(), endpoint.startedAtMs());
+    final EndpointState state = states.ofRun(endpoint.id(), endpoint.startedAtMs());
     if (state == null) {
       return false;
     }
@@ -435,7 +319,7 @@
    * @return the number
    */
   public long heldOffCount(final long nowMs) {
-    return states.values().stream().filter(state -> state.health().heldOffForMs(nowMs) > 0).count();
+    return states.all().stream().filter(state -> state.health().heldOffForMs(nowMs) > 0).count();
   }
 
   /**
@@ -446,24 +330,7 @@
    * @return false if a newer report of the same peer was applied before
    */
   public boolean applyPeerReport(final PeerReport report, final long nowMs) {
-    final ReportOrder order = new ReportOrder(report.incarnation(), report.sequence());
-    final ReportOrder before = latestReports.get(report.node());
-    if (before != null && !order.isNewerThan(before)) {
-      return false;
-    }
-    latestReports.put(report.node(), order);
-    refresh();
-    states.forEach(
-        (id, state) -> state.updatePeerLoad(report.node(), report.loads().get(id), nowMs));
-    for (final PeerReport.Placement placement : report.placements()) {
-      final EndpointState state = states.get(placement.endpoint());
-      if (state != null) {
-        state
-            .prefixCache()
-            .recordPrefill(placement.sharedSegments(), nowMs + placement.prefilledInMs());
-      }
-    }
-    return true;
+    return reports.apply(report, nowMs);
   }
 
   /**
@@ -475,7 +342,7 @@
    */
   public void recordCached(
       final EndpointId endpoint, final List<PromptSegment> segments, final long nowMs) {
-    refresh();
+    states.refresh();
     final EndpointState state = states.get(endpoint);
     if (state != null) {
       state.prefixCache().recordListed(segments, nowMs);
@@ -488,14 +355,7 @@
    * @return the loads by endpoint; endpoints without an attempt of this gateway are left out
    */
   public Map<EndpointId, PeerLoad> ownLoads() {
-    final Map<EndpointId, PeerLoad> loads = new HashMap<>();
-    states.forEach(
-        (id, state) -> {
-          if (state.ownInFlight() > 0) {
-            loads.put(id, new PeerLoad(state.ownInFlight(), state.ownPendingTokens()));
-          }
-        });
-    return loads;
+    return reports.own();
   }
 
   /**
@@ -504,10 +364,7 @@
    * @return the placements in the order in which they were recorded, empty if there were none
    */
   public List<PeerReport.Placement> drainPlacements() {
-    final List<PeerReport.Placement> drained = List.copyOf(placements);
-    placements.clear();
-    unreportedPrefillTokens = 0;
-    return drained;
+    return prefills.drain();
   }
 
   /**
@@ -533,17 +390,4 @@
     final EndpointState state = states.get(endpoint);
     return state == null ? 0 : state.pendingTokens(nowMs);
   }
-
-  /**
-   * The position of a report among the reports of its peer. Incarnations are not ordered, because
-   * the wall clock of a VM may jump: a report of any other incarnation counts as newer.
-   *
-   * @param incarnation identifies the run of the peer's process
-   * @param sequence the number of the report in this incarnation
-   */
-  private record ReportOrder(long incarnation, long sequence) {
-    boolean isNewerThan(final ReportOrder other) {
-      return incarnation != other.incarnation || sequence > other.sequence;
-    }
-  }
 }
--- a/src/main/java/org/bulrushweir/balancing/PlacementSnapshot.java
+++ b/src/main/java/org/bulrushweir/balancing/PlacementSnapshot.java
@@ -18,6 +18,9 @@
  *     the attempt is attributed to the same run of the endpoint
  * @param awaitMs the wait for segments that the endpoint prefills for another request, in
  *     milliseconds
+ * @param heldTokens the number of tokens that the request occupies in the KV cache at most
+ * @param expectedMs the expected time to the first event or, for a call, to its end, in
+ *     milliseconds, zero if it is unknown
  */
 public record PlacementSnapshot(
     int inFlight,
@@ -27,7 +30,9 @@
     long transferredTokens,
     Optional<EndpointId> cacheSource,
     long startedAtMs,
-    long awaitMs) {
+    long awaitMs,
+    long heldTokens,
+    long expectedMs) {
 
   /**
    * Returns the number of prompt tokens that the endpoint has to prefill itself.
--- a/src/main/java/org/bulrushweir/balancing/RetryBudget.java
+++ b/src/main/java/org/bulrushweir/balancing/RetryBudget.java
@@ -24,6 +24,9 @@
    */
   private static final double USED_SHARE = 0.8;
 
+  /** The share of the budget that retries of requests may use which have not failed. */
+  private static final double EARLY_SHARE = 0.5;
+
   private final Map<ServiceName, Window> windows = new HashMap<>();
   private final RetryBudgetSettings settings;
   private int gatewayCount = 1;
@@ -65,9 +68,27 @@
    * @return false if the budget is exhausted
    */
   public boolean tryWithdraw(final ServiceName service, final long nowMs) {
+    return withdraw(service, 1, nowMs);
+  }
+
+  /**
+   * Withdraws one retry for a request that has not failed. The rest of the budget is kept for
+   * requests that would otherwise fail for good.
+   *
+   * @param service the service of the request
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false if the part of the budget for such retries is exhausted
+   */
+  public boolean tryWithdrawEarly(final ServiceName service, final long nowMs) {
+    return withdraw(service, EARLY_SHARE, nowMs);
+  }
+
+  private boolean withdraw(final ServiceName service, final double share, final long nowMs) {
     final Window window = window(service, nowMs);
     final double allowed =
-        USED_SHARE * (settings.ratio() * sum(window.requests) + settings.slack() / gatewayCount);
+        share
+            * USED_SHARE
+            * (settings.ratio() * sum(window.requests) + settings.slack() / gatewayCount);
     if (sum(window.retries) + 1 > allowed) {
       return false;
     }
--- a/src/main/java/org/bulrushweir/balancing/SelectorSettings.java
+++ b/src/main/java/org/bulrushweir/balancing/SelectorSettings.java
@@ -5,8 +5,10 @@
  *
  * @param loadMultiple the load bound of an engine, as a multiple of the mean load of its service
  * @param prefillTokensPerMs the prefill speed of an engine, in tokens per millisecond
+ * @param statedLoad whether the selection uses the pace of the endpoints, the targets of prompts
+ *     and the capacity of KV caches
  */
-public record SelectorSettings(double loadMultiple, double prefillTokensPerMs) {
+public record SelectorSettings(double loadMultiple, double prefillTokensPerMs, boolean statedLoad) {
 
   /**
    * The cost of each in-flight request at an engine that has reached the load bound, in
@@ -23,6 +25,16 @@
    */
   private static final double TIE_SHARE = 0.05;
 
+  /**
+   * Creates settings of a selection that uses none of these.
+   *
+   * @param loadMultiple the load bound of an engine, as a multiple of the mean load of its service
+   * @param prefillTokensPerMs the prefill speed of an engine, in tokens per millisecond
+   */
+  public SelectorSettings(final double loadMultiple, final double prefillTokensPerMs) {
+    this(loadMultiple, prefillTokensPerMs, false);
+  }
+
   double overBoundMs() {
     return OVER_BOUND_MS;
   }
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -6,7 +6,9 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.bulrushweir.api.EndpointId;
+import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.balancing.AttemptOutcome;
+import org.bulrushweir.balancing.EndpointObservations;
 import org.bulrushweir.balancing.EndpointSelector;
 import org.bulrushweir.balancing.EndpointTracker;
 import org.bulrushweir.balancing.PlacementSnapshot;
@@ -82,11 +84,7 @@
       return Optional.empty();
     }
     return selector.choose(
-        routed.service(),
-        routed.head().prompt(),
-        BitMixer.mix(routed.head().id().hashCode()),
-        excluded,
-        nowMs);
+        routed.profile(), BitMixer.mix(routed.head().id().hashCode()), excluded, nowMs);
   }
 
   /**
@@ -121,6 +119,53 @@
     return retryBudget.tryWithdraw(routed.service(), nowMs);
   }
 
+  /**
+   * Withdraws one retry for a request that has not failed.
+   *
+   * @param routed the request
+   * @param nowMs the current time, in Unix milliseconds
+   * @return true if the request may be sent again, false if the budget for that is exhausted
+   */
+  boolean tryEarlyRetry(final RoutedRequest routed, final long nowMs) {
+    return retryBudget.tryWithdrawEarly(routed.service(), nowMs);
+  }
+
+  /**
+   * Returns what endpoints state about their load and how long their calls take.
+   *
+   * @return the observations
+   */
+  EndpointObservations observations() {
+    return tracker.observations();
+  }
+
+  /**
+   * Returns the rank of a request at an engine.
+   *
+   * @param routed the request
+   * @param placement the engine's state before the attempt
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the rank, 0 is the most urgent
+   */
+  int engineRank(final RoutedRequest routed, final PlacementSnapshot placement, final long nowMs) {
+    return selector.engineRank(
+        routed.priority(), routed.profile(), placement.prefillTokens(), nowMs);
+  }
+
+  /**
+   * Returns when a second attempt at a call becomes likelier to meet the target than the first.
+   *
+   * @param service the service
+   * @param targetMs the target for the time of the call, in milliseconds
+   * @return the time since the first attempt was sent in milliseconds, {@link Long#MAX_VALUE} for
+   *     never
+   */
+  long secondAttemptMs(final ServiceName service, final long targetMs) {
+    return selector.usesStatedLoad()
+        ? tracker.observations().secondAttemptMs(service, targetMs)
+        : Long.MAX_VALUE;
+  }
+
   /**
    * Returns an endpoint's registration.
    *
@@ -159,7 +204,8 @@
       final Optional<EndpointRecord> source,
       final long nowMs) {
     final PlacementSnapshot snapshot =
-        tracker.recordAttempt(endpoint, routed.head().prompt(), source, nowMs);
+        tracker.recordAttempt(
+            endpoint, routed.head().prompt(), source, routed.profile().heldTokens(), nowMs);
     mesh.reportIfUrgent();
     return snapshot;
   }
@@ -235,6 +281,7 @@
       final long pendingTokens,
       final AttemptOutcome outcome,
       final long nowMs) {
-    tracker.recordOutcome(endpoint, placement.startedAtMs(), pendingTokens, outcome, nowMs);
+    tracker.recordOutcome(
+        endpoint, placement.startedAtMs(), pendingTokens, placement.heldTokens(), outcome, nowMs);
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -174,6 +174,11 @@
     return core.planner().tryRetry(routed, nowMs);
   }
 
+  @Override
+  public boolean tryEarlyRetry(final long nowMs) {
+    return core.planner().tryEarlyRetry(routed, nowMs);
+  }
+
   @Override
   public long retryAfterMs() {
     return core.planner().heldOffForMs(routed, core.nowMs()) + core.retryAfterMs();
@@ -198,7 +203,7 @@
             attempt.endpoint(),
             routed.organisation(),
             remainingMs,
-            routed.priority(),
+            core.planner().engineRank(routed, attempt.placement(), core.nowMs()),
             resumeAfter,
             attempt.cacheSource());
     connection.send(
--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -53,6 +53,7 @@
   private final EndpointId endpoint;
   private final Optional<EndpointRecord> cacheSource;
   private final PlacementSnapshot placement;
+  private final AttemptObserver observer;
   private long pendingTokens;
   private EndpointRecord target;
   private EndpointConnection connection;
@@ -96,6 +97,7 @@
     this.cacheSource = core.planner().cacheSource(routed, endpoint, nowMs);
     this.placement = core.planner().recordAttempt(routed, endpoint, cacheSource, nowMs);
     this.pendingTokens = placement.prefillTokens();
+    this.observer = new AttemptObserver(core, routed, endpoint, placement);
   }
 
   AttemptId id() {
@@ -202,6 +204,7 @@
       return;
     }
     connection = acquired;
+    observer.sent();
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
     owner.writeRequest(this, acquired);
@@ -260,6 +263,7 @@
       return;
     }
     prefillRecorded = true;
+    observer.firstPart();
     core.planner()
         .recordPrefill(endpoint, placement, routed.head().prompt(), pendingTokens, core.nowMs());
     pendingTokens = 0;
@@ -272,6 +276,7 @@
    */
   void finish(final AttemptOutcome outcome) {
     finished = true;
+    observer.finished(outcome);
     core.planner().recordOutcome(endpoint, placement, pendingTokens, outcome, core.nowMs());
     pendingTokens = 0;
   }
@@ -332,7 +337,7 @@
     head = ResponseTranslator.head(received);
     end.onHead(framing, head.success());
     framer.startResponse();
-    recordAnnouncements(received);
+    observer.headReceived(target, received, head);
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
       return;
@@ -340,16 +345,6 @@
     owner.handle(new RelayEvent.HeadReceived(id, head));
   }
 
-  /** Records what the endpoint says about further requests. */
-  private void recordAnnouncements(final HttpResponse received) {
-    if (ResponseTranslator.announcesLeaving(received)) {
-      core.planner().recordLeaving(target);
-    }
-    if (head.holdOffMs() > 0) {
-      core.planner().recordHoldOff(target, head.holdOffMs(), core.nowMs());
-    }
-  }
-
   @Override
   public void onPart(final ByteBuf part) {
     if (finished) {
--- a/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayMetrics.java
@@ -52,6 +52,13 @@
           .classicOnly()
           .classicUpperBounds(LATENCY_BOUNDS)
           .register(registry());
+  private final Histogram expectationErrors =
+      Histogram.builder()
+          .name("bulrushweir_gateway_expected_time_error_seconds")
+          .help("Difference between the expected and the actual time to the first event or end.")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS)
+          .register(registry());
   private final Map<String, CounterDataPoint> requestCounters = new HashMap<>();
   private final Map<RequestKind, DistributionDataPoint> firstByteByKind =
       new EnumMap<>(RequestKind.class);
@@ -143,6 +150,15 @@
     loopDelays.observe(ms / MS_PER_SECOND);
   }
 
+  /**
+   * Records how far an expected time was from the actual one.
+   *
+   * @param ms the difference in milliseconds
+   */
+  public void recordExpectationError(final long ms) {
+    expectationErrors.observe(ms / MS_PER_SECOND);
+  }
+
   /**
    * Counts bytes of an endpoint that belong to no waiting request.
    *
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -200,6 +200,10 @@
         "bulrushweir_gateway_endpoints_held_off",
         "Endpoints that asked for no requests for a while.",
         () -> (double) tracker.heldOffCount(clock.nowMs()));
+    metrics.gauge(
+        "bulrushweir_gateway_endpoints_slow",
+        "Endpoints that work slowly according to what they state or to the times of their calls.",
+        () -> (double) tracker.observations().slowCount(clock.nowMs()));
     metrics.gauge(
         "bulrushweir_gateway_plan_version",
         "The version of the plan in force.",
--- a/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
@@ -23,6 +23,9 @@
 /** Converts peer reports to and from their Protocol Buffers messages. */
 final class PeerReportCodec {
 
+  /** The highest number of held tokens that is plausible; sums of it do not overflow. */
+  private static final long MAX_HELD_TOKENS = 1_000_000_000_000L;
+
   private PeerReportCodec() {}
 
   /**
@@ -58,7 +61,8 @@
                     EndpointLoad.newBuilder()
                         .setEndpoint(endpoint.value())
                         .setInFlight(load.inFlight())
-                        .setPendingTokens(Math.max(0, load.pendingTokens()))));
+                        .setPendingTokens(Math.max(0, load.pendingTokens()))
+                        .setHeldTokens(Math.max(0, load.heldTokens()))));
     for (final PeerReport.Placement placement : report.placements()) {
       final PromptPlacement.Builder entry =
           PromptPlacement.newBuilder()
@@ -125,7 +129,10 @@
     for (final EndpointLoad load : message.getLoadsList()) {
       loads.put(
           new EndpointId(load.getEndpoint()),
-          new PeerLoad(load.getInFlight(), load.getPendingTokens()));
+          new PeerLoad(
+              load.getInFlight(),
+              load.getPendingTokens(),
+              Math.clamp(load.getHeldTokens(), 0, MAX_HELD_TOKENS)));
     }
     final List<PeerReport.Placement> placements = new ArrayList<>();
     for (final PromptPlacement placement : message.getPlacementsList()) {
--- a/src/main/java/org/bulrushweir/gateway/RequestAdmission.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestAdmission.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
@@ -184,6 +185,7 @@
       final Route route,
       final Optional<Tenant> tenant,
       final long arrivedMs) {
+    final ServiceName service = route.serviceFor(BitMixer.mix(head.id().hashCode()));
     final boolean stream = route.kind() == RequestKind.STREAM;
     final long callStallTimeoutMs =
         Math.max(MIN_CALL_STALL_TIMEOUT_MS, CALL_STALL_TARGET_MULTIPLE * route.latencyTargetMs());
@@ -194,12 +196,15 @@
             route.maxAttempts(),
             arrivedMs + timeLimitMs(route, head),
             stream ? FIRST_EVENT_TARGET_MULTIPLE * route.latencyTargetMs() : callStallTimeoutMs,
-            stream ? EVENT_STALL_TIMEOUT_MS : callStallTimeoutMs);
+            stream ? EVENT_STALL_TIMEOUT_MS : callStallTimeoutMs,
+            stream || !route.retryable()
+                ? Long.MAX_VALUE
+                : planner.secondAttemptMs(service, route.latencyTargetMs()));
     final int routePriority = route.priority();
     return new RoutedRequest(
         head,
         route,
-        route.serviceFor(BitMixer.mix(head.id().hashCode())),
+        service,
         tenant.map(Tenant::organisation),
         tenant.map(holder -> holder.priority().orElse(routePriority)).orElse(routePriority),
         limits,
--- a/src/main/java/org/bulrushweir/gateway/RequestLog.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestLog.java
@@ -209,6 +209,16 @@
             result.detail()));
   }
 
+  /**
+   * Records how far the expected time of an attempt was from the actual one.
+   *
+   * @param expectedMs the expected time to the first event or end, in milliseconds
+   * @param actualMs the actual time, in milliseconds
+   */
+  void recordExpectation(final long expectedMs, final long actualMs) {
+    metrics.recordExpectationError(Math.abs(actualMs - expectedMs));
+  }
+
   private static RequestLogEntry.Result withoutResponse(final String outcome, final String detail) {
     return new RequestLogEntry.Result(
         0, Optional.empty(), false, 0, NOT_STARTED, 0, outcome, detail);
--- a/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
+++ b/src/main/java/org/bulrushweir/gateway/RoutedRequest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.balancing.RequestProfile;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
 import org.bulrushweir.relay.RelayLimits;
@@ -38,6 +39,16 @@
    */
   private static final long UNSAFE_MAX_IDLE_MS = 1_000;
 
+  /**
+   * Returns what the selection of an endpoint considers.
+   *
+   * @return the request's service, prompt, expected output and target
+   */
+  RequestProfile profile() {
+    return new RequestProfile(
+        service, head.prompt(), head.reservedOutputTokens(), arrivedMs + route.latencyTargetMs());
+  }
+
   /**
    * Returns whether the response is a stream of events.
    *
--- a/src/main/java/org/bulrushweir/platform/HeaderNames.java
+++ b/src/main/java/org/bulrushweir/platform/HeaderNames.java
@@ -18,6 +18,12 @@
   /** The tokens of the prompt and the longest answer in tokens, separated by a comma. */
   static final AsciiString TOKENS = AsciiString.cached("x-token-usage");
 
+  /** The expected length of the answer, in tokens. */
+  static final AsciiString LENGTH_HINT = AsciiString.cached("x-length-hint");
+
+  /** An endpoint's load: requests running, requests waiting, slots and pace in percent. */
+  static final AsciiString SERVER_LOAD = AsciiString.cached("x-server-load");
+
   /** Marks answers that an endpoint made. */
   static final AsciiString ANSWER_SEAL = AsciiString.cached("x-response-seal");
 
@@ -64,7 +70,7 @@
           AsciiString.cached("host"),
           AsciiString.cached("x-model"),
           TOKENS,
-          AsciiString.cached("x-length-hint"));
+          LENGTH_HINT);
 
   private HeaderNames() {}
 }
--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -55,7 +55,8 @@
             key(headers.get(HttpHeaderNames.AUTHORIZATION)),
             prompt(headers.get(HeaderNames.PROMPT_PARTS)),
             outputTokens(headers.get(HeaderNames.TOKENS)),
-            number(headers.get(HeaderNames.LAST_EVENT))));
+            number(headers.get(HeaderNames.LAST_EVENT)),
+            number(headers.get(HeaderNames.LENGTH_HINT))));
   }
 
   private static String hostName(final String host) {
--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -6,7 +6,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.bulrushweir.balancing.StatedLoad;
 import org.bulrushweir.relay.ResponseHead;
 
 /** Translates endpoints' answers into the product's types. */
@@ -16,6 +19,8 @@
   private static final String TIMEOUT = "timeout=";
   private static final long MS_PER_SECOND = 1_000;
   private static final int MISDIRECTED = 421;
+  private static final int MIN_LOAD_FIELDS = 3;
+  private static final double PERCENT = 100;
 
   private ResponseTranslator() {}
 
@@ -67,6 +72,41 @@
         && response.status().code() != MISDIRECTED;
   }
 
+  /**
+   * Reads the load that the endpoint that made an answer states.
+   *
+   * @param response the answer
+   * @return the load, empty if it states none, if it can't be read or for an answer of another
+   *     endpoint at the same address
+   */
+  public static Optional<StatedLoad> statedLoad(final HttpResponse response) {
+    final String text = response.headers().get(HeaderNames.SERVER_LOAD);
+    if (text == null || response.status().code() == MISDIRECTED) {
+      return Optional.empty();
+    }
+    final String[] fields = text.split(",", -1);
+    if (fields.length < MIN_LOAD_FIELDS) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(
+          new StatedLoad(
+              Integer.parseInt(fields[0].strip()),
+              Integer.parseInt(fields[1].strip()),
+              Integer.parseInt(fields[2].strip()),
+              fields.length == MIN_LOAD_FIELDS ? OptionalDouble.empty() : pace(fields[3])));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static OptionalDouble pace(final String percent) {
+    final double value = Double.parseDouble(percent.strip()) / PERCENT;
+    return value > 0 && value < Double.POSITIVE_INFINITY
+        ? OptionalDouble.of(value)
+        : OptionalDouble.empty();
+  }
+
   /**
    * Tells whether the body of an answer is a stream of events.
    *
--- a/src/main/java/org/bulrushweir/relay/EndpointSource.java
+++ b/src/main/java/org/bulrushweir/relay/EndpointSource.java
@@ -24,6 +24,16 @@
    */
   boolean tryRetry(long nowMs);
 
+  /**
+   * Withdraws one retry from the part of the budget that requests may use which have not failed.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return false if that part is exhausted
+   */
+  default boolean tryEarlyRetry(final long nowMs) {
+    return false;
+  }
+
   /**
    * Returns the delay after which a refused caller should retry.
    *
--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -38,6 +38,7 @@
   private boolean currentSent;
   private boolean currentHeadReceived;
   private boolean finished;
+  private boolean earlyRetryTried;
   private long lastActivityMs;
   private long endpointRetryAfterMs;
   private String lastDetail = "no endpoint accepts new requests";
@@ -100,7 +101,9 @@
    * @return the time in Unix milliseconds
    */
   public long nextTickMs() {
-    return mayRetry() ? Math.min(limits.deadlineMs(), stalledAtMs()) : limits.deadlineMs();
+    return mayRetry()
+        ? Math.min(limits.deadlineMs(), Math.min(stalledAtMs(), earlyRetryAtMs()))
+        : limits.deadlineMs();
   }
 
   /**
@@ -117,6 +120,16 @@
         + (currentHeadReceived ? limits.stallTimeoutMs() : limits.firstByteTimeoutMs());
   }
 
+  private long earlyRetryAtMs() {
+    return earlyRetryTried
+            || possibleExecutions > 0
+            || !currentSent
+            || currentHeadReceived
+            || limits.earlyRetryMs() >= limits.firstByteTimeoutMs()
+        ? Long.MAX_VALUE
+        : lastActivityMs + limits.earlyRetryMs();
+  }
+
   private List<RelayAction> drainActions() {
     final List<RelayAction> drained = List.copyOf(actions);
     actions.clear();
@@ -217,7 +230,7 @@
       continueWith(head, nowMs);
       return;
     }
-    if (head.isServerError() && retryElsewhere(nowMs)) {
+    if (head.isServerError() && retryElsewhere(false, nowMs)) {
       return;
     }
     forwardedHead = head;
@@ -258,7 +271,7 @@
   /**
    * Replaces the current attempt by one at another endpoint; returns false if that is not possible.
    */
-  private boolean retryElsewhere(final long nowMs) {
+  private boolean retryElsewhere(final boolean early, final long nowMs) {
     // The current attempt counts as an execution too.
     if (!mayRetry() || possibleExecutions + 1 >= limits.maxExecutions()) {
       return false;
@@ -266,7 +279,7 @@
     final AttemptId previous = current;
     // The abort precedes the Send, but is inserted only once a next endpoint is certain.
     final int abortIndex = actions.size();
-    if (!sendRetryWithinBudget(nowMs)) {
+    if (!sendRetryWithinBudget(early, nowMs)) {
       return false;
     }
     possibleExecutions++;
@@ -285,8 +298,12 @@
   }
 
   private boolean sendRetryWithinBudget(final long nowMs) {
+    return sendRetryWithinBudget(false, nowMs);
+  }
+
+  private boolean sendRetryWithinBudget(final boolean early, final long nowMs) {
     final Optional<EndpointId> next = endpoints.next(excluded, nowMs);
-    if (next.isEmpty() || !endpoints.tryRetry(nowMs)) {
+    if (next.isEmpty() || !(early ? endpoints.tryEarlyRetry(nowMs) : endpoints.tryRetry(nowMs))) {
       return false;
     }
     send(next.get(), nowMs);
@@ -301,7 +318,13 @@
     if (nowMs < nextTickMs()) {
       return;
     }
-    if (!retryElsewhere(nowMs)) {
+    if (nowMs < stalledAtMs()) {
+      // Without budget the attempt goes on until it is stalled.
+      earlyRetryTried = true;
+      retryElsewhere(true, nowMs);
+      return;
+    }
+    if (!retryElsewhere(false, nowMs)) {
       // No other endpoint may be tried: waits for another timeout.
       lastActivityMs = nowMs;
     }
--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -120,7 +120,8 @@
             "prefill_tokens_per_ms",
             DEFAULT_PREFILL_TOKENS_PER_MS,
             1,
-            MAXIMUM_PREFILL_TOKENS_PER_MS));
+            MAXIMUM_PREFILL_TOKENS_PER_MS),
+        reader.flag("stated_load", false));
   }
 
   private String name(final String key) {
--- a/src/test/java/org/bulrushweir/balancing/SimulatedRouters.java
+++ b/src/test/java/org/bulrushweir/balancing/SimulatedRouters.java
@@ -23,6 +23,7 @@
   final EndpointDirectory directory = new EndpointDirectory();
   final List<EndpointTracker> trackers = new ArrayList<>();
   final List<EndpointSelector> selectors = new ArrayList<>();
+  private final int slots;
   private long sequence;
 
   /**
@@ -32,6 +33,20 @@
    * @param endpoints the number of endpoints
    */
   SimulatedRouters(final int routers, final int endpoints) {
+    this(routers, endpoints, 128, new SelectorSettings(2, 69.8));
+  }
+
+  /**
+   * Creates routers without in-flight requests.
+   *
+   * @param routers the number of routers
+   * @param endpoints the number of endpoints
+   * @param slots the number of slots of each endpoint
+   * @param settings the settings of the selection
+   */
+  SimulatedRouters(
+      final int routers, final int endpoints, final int slots, final SelectorSettings settings) {
+    this.slots = slots;
     for (int number = 1; number <= endpoints; number++) {
       add(number, false);
     }
@@ -39,7 +54,7 @@
       final EndpointTracker tracker =
           new EndpointTracker(directory, service -> KV_CAPACITY_TOKENS, 69.8);
       trackers.add(tracker);
-      selectors.add(new EndpointSelector(tracker, ZONE, new SelectorSettings(2, 69.8)));
+      selectors.add(new EndpointSelector(tracker, ZONE, settings));
     }
   }
 
@@ -68,7 +83,7 @@
             "10.0.0." + number,
             80,
             ZONE,
-            128,
+            slots,
             draining,
             startedAtMs));
   }
@@ -77,21 +92,38 @@
     return selectors.get(router).choose(SERVICE, prompt, draw, Set.of(), 0);
   }
 
+  EndpointRecord record(final EndpointId endpoint) {
+    return directory.find(endpoint).orElseThrow();
+  }
+
   /** Sends a report of each router to all others. */
   void exchangeReports(final long nowMs) {
+    apply(reports(), nowMs);
+  }
+
+  /** Returns a report of each router. */
+  List<PeerReport> reports() {
     sequence++;
+    final List<PeerReport> reports = new ArrayList<>();
     for (int from = 0; from < trackers.size(); from++) {
-      final PeerReport report =
+      reports.add(
           new PeerReport(
               new NodeId("router-" + from),
               1,
               sequence,
               1,
               trackers.get(from).ownLoads(),
-              trackers.get(from).drainPlacements());
+              trackers.get(from).drainPlacements()));
+    }
+    return reports;
+  }
+
+  /** Applies a report of each router at all others. */
+  void apply(final List<PeerReport> reports, final long nowMs) {
+    for (int from = 0; from < trackers.size(); from++) {
       for (int to = 0; to < trackers.size(); to++) {
         if (to != from) {
-          trackers.get(to).applyPeerReport(report, nowMs);
+          trackers.get(to).applyPeerReport(reports.get(from), nowMs);
         }
       }
     }
