Ranks and costs of prompts by their length

Cause: long prompts (9,200 tokens) and short ones (713) share engines; short ones wait behind the prefill of several long ones.

Change: within each rank of the configuration, engines get two ranks: prompts whose prefill takes a tenth of the time left until their target, and the others. At an engine where a prompt would be short, at most 1,000 pending tokens count as delay, since its rank puts it before the rest; short prompts are spread by a small random term, as all gateways learn at once which engines are idle.

Conclusion: the rank decides; the cost must follow what the rank does.

--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -128,20 +128,23 @@
    *
    * @param configured the configured rank, 0 is the most urgent
    * @param request the request
-   * @param prefillTokens the number of prompt tokens that the engine has to prefill
+   * @param placement the engine's load and cache state before the request
    * @param nowMs the current time, in Unix milliseconds
    * @return the rank, 0 is the most urgent
    */
   public int engineRank(
       final int configured,
       final RequestProfile request,
-      final long prefillTokens,
+      final PlacementSnapshot placement,
       final long nowMs) {
     if (!settings.statedLoad() || request.prompt().isEmpty()) {
       return configured;
     }
+    // A prefix that another request prefills may not be ready, so that this one prefills it too.
+    final long tokens =
+        placement.awaitMs() > 0 ? placement.promptTokens() : placement.prefillTokens();
     return EngineRank.rank(
-        configured, prefillTokens / settings.prefillTokensPerMs(), request.targetAtMs() - nowMs);
+        configured, tokens / settings.prefillTokensPerMs(), request.targetAtMs() - nowMs);
   }
 
   /**
--- a/src/main/java/org/bulrushweir/balancing/EngineRank.java
+++ b/src/main/java/org/bulrushweir/balancing/EngineRank.java
@@ -16,12 +16,6 @@
   /** The share of the time left until the target up to which a prefill is short. */
   private static final double SHORT_SHARE = 0.1;
 
-  /**
-   * The share of the time left until the target from which a long prefill is as urgent as a short
-   * one, because it would otherwise miss the target.
-   */
-  private static final double LATE_SHARE = 0.6;
-
   private EngineRank() {}
 
   /**
@@ -34,9 +28,18 @@
    * @return the rank from 0 to 9
    */
   static int rank(final int configured, final double prefillMs, final long timeLeftMs) {
-    final boolean isShort = prefillMs <= SHORT_SHARE * timeLeftMs;
-    final boolean isLate = timeLeftMs > 0 && prefillMs >= LATE_SHARE * timeLeftMs;
     final long first = (long) RANKS_PER_CONFIGURED * Math.max(0, configured);
-    return (int) Math.min(LAST_RANK, first + (isShort || isLate ? 0 : 1));
+    return (int) Math.min(LAST_RANK, first + (isShort(prefillMs, timeLeftMs) ? 0 : 1));
+  }
+
+  /**
+   * Returns whether a prompt is short for its target.
+   *
+   * @param prefillMs the time that the engine needs to prefill the prompt, in milliseconds
+   * @param timeLeftMs the time until the target for the first event, in milliseconds
+   * @return true if its prefill takes a small part of the time
+   */
+  static boolean isShort(final double prefillMs, final long timeLeftMs) {
+    return prefillMs <= SHORT_SHARE * timeLeftMs;
   }
 }
--- a/src/main/java/org/bulrushweir/balancing/PromptCost.java
+++ b/src/main/java/org/bulrushweir/balancing/PromptCost.java
@@ -2,6 +2,7 @@
 
 import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.ZoneName;
+import org.bulrushweir.routing.BitMixer;
 
 /**
  * The cost of an engine for a prompt, in milliseconds: an estimate of the time to first token and
@@ -27,6 +28,18 @@
   /** The cost of an engine in another availability zone, in milliseconds: a round trip. */
   private static final double OTHER_ZONE_MS = 3;
 
+  /**
+   * The number of pending prefill tokens that delay a short prompt at most: about half of the chunk
+   * that the engine prefills when it arrives. Its rank puts it before the rest.
+   */
+  private static final double MAX_DELAYING_TOKENS = 1_000;
+
+  /**
+   * The range of the random term for short prompts, in milliseconds. Gateways learn at the same
+   * time which engines prefill little, and would all send their short prompts there.
+   */
+  private static final double SPREAD_MS = 10;
+
   /** The share of an engine's KV cache that the requests sent to it may occupy. */
   private static final double KV_SHARE = 0.9;
 
@@ -83,17 +96,37 @@
     if (inFlight >= bound || inFlight > 0 && state.heldTokens(nowMs) > kvLimit) {
       return bound + inFlight * settings.overBoundMs();
     }
-    final double pace = settings.statedLoad() ? state.pace().at(nowMs) : EndpointPace.USUAL;
     final int cached = state.prefixCache().cachedTokens(request.prompt());
     final int transferred = Math.max(0, maxCached - cached);
     double missed = total - cached - transferred;
+    double pending = state.pendingTokens(nowMs);
+    double pace = EndpointPace.USUAL;
+    double spreadMs = 0;
+    if (settings.statedLoad()) {
+      pace = state.pace().at(nowMs);
+      if (isShort(missed)) {
+        pending = Math.min(pending, MAX_DELAYING_TOKENS);
+      }
+      if (isShort(total)) {
+        spreadMs = spreadMs(state);
+      }
+    }
     if (state == hashOwner && maxCached < shared) {
       missed -= HASH_OWNER_CREDIT * (shared - maxCached);
     }
     final double prefillMs =
-        (MISS_WEIGHT * missed + TRANSFER_WEIGHT * transferred + state.pendingTokens(nowMs))
+        (MISS_WEIGHT * missed + TRANSFER_WEIGHT * transferred + pending)
             / settings.prefillTokensPerMs();
     final double zoneMs = state.entry().zone().equals(zone) ? 0 : OTHER_ZONE_MS;
-    return prefillMs * pace + RUNNING_MS * inFlight * pace + zoneMs;
+    return (prefillMs + RUNNING_MS * inFlight) * pace + zoneMs + spreadMs;
+  }
+
+  private boolean isShort(final double tokens) {
+    return EngineRank.isShort(tokens / settings.prefillTokensPerMs(), request.targetAtMs() - nowMs);
+  }
+
+  private double spreadMs(final EndpointState state) {
+    final long draw = BitMixer.mix(request.prompt().getLast().id());
+    return SPREAD_MS * (BitMixer.mix(draw ^ state.key()) >>> 1) / Long.MAX_VALUE;
   }
 }
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -148,8 +148,7 @@
    * @return the rank, 0 is the most urgent
    */
   int engineRank(final RoutedRequest routed, final PlacementSnapshot placement, final long nowMs) {
-    return selector.engineRank(
-        routed.priority(), routed.profile(), placement.prefillTokens(), nowMs);
+    return selector.engineRank(routed.priority(), routed.profile(), placement, nowMs);
   }
 
   /**
