--- a/src/test/java/org/bulrushweir/balancing/RetryBudgetTest.java
+++ b/src/test/java/org/bulrushweir/balancing/RetryBudgetTest.java
@@ -57,4 +57,19 @@
     assertTrue(!retryBudget.tryWithdraw(SERVICE, 9_000));
     assertTrue(retryBudget.tryWithdraw(SERVICE, 11_000));
   }
+
+  /** Retries of slow requests must leave enough for requests that would fail for good. */
+  @Test
+  void earlyRetriesLeaveHalfOfTheBudget() {
+    final RetryBudget retryBudget = new RetryBudget(new RetryBudgetSettings(0, 10, 10_000));
+    int early = 0;
+    while (retryBudget.tryWithdrawEarly(SERVICE, 0)) {
+      early++;
+    }
+    int others = 0;
+    while (retryBudget.tryWithdraw(SERVICE, 0)) {
+      others++;
+    }
+    assertTrue(early == 4 && others == 4, early + " and " + others);
+  }
 }
--- a/src/test/java/org/bulrushweir/relay/ScriptedEndpoints.java
+++ b/src/test/java/org/bulrushweir/relay/ScriptedEndpoints.java
@@ -13,6 +13,7 @@
 
   private final List<EndpointId> endpoints;
   private int retriesLeft;
+  private int earlyRetriesLeft;
 
   /**
    * Creates the endpoints e1, e2 and so on.
@@ -31,6 +32,17 @@
     retriesLeft += retries;
   }
 
+  /** Grants a number of further retries to requests that have not failed. */
+  void allowEarlyRetries(final int retries) {
+    earlyRetriesLeft += retries;
+  }
+
+  @Override
+  public boolean tryEarlyRetry(final long nowMs) {
+    earlyRetriesLeft--;
+    return earlyRetriesLeft >= 0;
+  }
+
   @Override
   public Optional<EndpointId> next(final Set<EndpointId> excluded, final long nowMs) {
     return endpoints.stream().filter(endpoint -> !excluded.contains(endpoint)).findFirst();
