--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -1,6 +1,5 @@
 package org.bulrushweir.balancing;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -26,12 +25,6 @@
  */
 public final class EndpointSelector {
 
-  /**
-   * The tokens that the owners of a first segment may prefill for it together, as a share of the
-   * shared segments of one prompt.
-   */
-  private static final double OWNERS_COST_SHARE = 0.5;
-
   /**
    * The number of requests that is added to the load bound, so that an engine can serve a few
    * requests while the mean load is low.
@@ -108,7 +101,7 @@
       return best(candidates, excluded, cost, ejection, nowMs);
     }
     final double bound = bound(candidates, nowMs);
-    final EndpointState hashOwner = hashOwner(candidates, prompt, ejection);
+    final EndpointState hashOwner = HashOwner.find(candidates, prompt, ejection);
     final int maxCached = tracker.states().maxPrefilledTokens(service, prompt, nowMs);
     final PromptCost cost =
         new PromptCost(
@@ -199,28 +192,6 @@
     return BOUND_SHARE * settings.loadMultiple() * mean + BOUND_ALLOWANCE;
   }
 
-  /**
-   * Returns the engine that rendezvous hashing assigns to the shared segments of a prompt, null if
-   * all candidates are ejected. Prompts that share only their first segment are spread over as many
-   * engines as cost half a prompt more for reading their first segment.
-   */
-  private static EndpointState hashOwner(
-      final List<EndpointState> candidates,
-      final List<PromptSegment> prompt,
-      final EjectionPolicy ejection) {
-    final PromptSegment first = prompt.getFirst();
-    final List<PromptSegment> shared = prompt.subList(0, Math.max(1, prompt.size() - 1));
-    final long owners =
-        (long) (OWNERS_COST_SHARE * PromptSegment.tokens(shared) / Math.max(1, first.tokens()));
-    final long document = shared.getLast().id();
-    return candidates.stream()
-        .filter(state -> !ejection.avoids(state))
-        .sorted(Comparator.comparingLong(state -> -BitMixer.mix(first.id() ^ state.key())))
-        .limit(Math.max(1, owners))
-        .max(Comparator.comparingLong(state -> BitMixer.mix(document ^ state.key())))
-        .orElse(null);
-  }
-
   private static double unitFraction(final long value) {
     return (double) (BitMixer.mix(value) >>> 1) / Long.MAX_VALUE;
   }
--- a/src/main/java/org/bulrushweir/balancing/PromptSegment.java
+++ b/src/main/java/org/bulrushweir/balancing/PromptSegment.java
@@ -17,7 +17,11 @@
    * @return the number of tokens, zero for an empty prompt
    */
   public static long tokens(final List<PromptSegment> prompt) {
-    return prompt.stream().mapToLong(PromptSegment::tokens).sum();
+    long sum = 0;
+    for (final PromptSegment segment : prompt) {
+      sum += segment.tokens();
+    }
+    return sum;
   }
 
   /**
