Calls stay in the zone while it has room; times are kept for longer

Cause: the random term sent a third of the calls of an idle service to other zones, and with reports aged by the length of calls a gateway of many did not learn that its zone is full. Measured times lost a fifth of their weight per second, so that a gateway with fewer than four calls per second of a service never used them.

Change: endpoints of other zones cost the range of the random term more; the calls of peers that do not count singly are added as the mean of a zone's endpoints. Times lose 7 % per second, a mean needs 5 calls.

Conclusion: how many calls a zone has is known for longer than where they are.

--- a/src/main/java/org/bulrushweir/balancing/CallCost.java
+++ b/src/main/java/org/bulrushweir/balancing/CallCost.java
@@ -1,12 +1,15 @@
 package org.bulrushweir.balancing;
 
+import java.util.List;
 import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.routing.BitMixer;
 
 /**
  * The cost of an endpoint for a call: the expected time until the call ends, relative to the mean
- * time of the service's calls.
+ * time of the service's calls. How the calls of peers are spread over the endpoints of a zone is
+ * known only for the short time that calls last; how many there are in the zone is known for
+ * longer.
  */
 final class CallCost implements ToDoubleFunction<EndpointState> {
 
@@ -34,31 +37,68 @@
   private final ZoneName zone;
   private final double otherZoneCost;
   private final double memoryMs;
+
+  /** The mean load of this zone's endpoints by calls of peers that do not count singly any more. */
+  private final double hiddenHere;
+
+  private final double hiddenElsewhere;
   private final long draw;
   private final long nowMs;
 
   /**
    * Creates the cost for one selection.
    *
+   * @param candidates the endpoints that accept new requests
    * @param zone this gateway's availability zone
    * @param meanMs the mean time of the service's calls in milliseconds, zero if it is unknown
    * @param draw a pseudo-random number
    * @param nowMs the current time, in Unix milliseconds
    */
-  CallCost(final ZoneName zone, final double meanMs, final long draw, final long nowMs) {
+  CallCost(
+      final List<EndpointState> candidates,
+      final ZoneName zone,
+      final double meanMs,
+      final long draw,
+      final long nowMs) {
     this.zone = zone;
     final double usualMs = meanMs > 0 ? meanMs : DEFAULT_MEAN_MS;
-    this.otherZoneCost = Math.max(MIN_OTHER_ZONE_COST, OTHER_ZONE_MS / usualMs);
+    // An idle endpoint of this zone is always preferred to an idle one of another zone.
+    this.otherZoneCost = SPREAD + Math.max(MIN_OTHER_ZONE_COST, OTHER_ZONE_MS / usualMs);
     this.memoryMs = PEER_MEMORY * usualMs;
     this.draw = draw;
     this.nowMs = nowMs;
+    double here = 0;
+    double elsewhere = 0;
+    int countHere = 0;
+    for (final EndpointState state : candidates) {
+      final double hidden =
+          (state.inFlight(nowMs) - state.recentInFlight(memoryMs, nowMs)) / slots(state);
+      if (isHere(state)) {
+        here += hidden;
+        countHere++;
+      } else {
+        elsewhere += hidden;
+      }
+    }
+    this.hiddenHere = here / Math.max(1, countHere);
+    this.hiddenElsewhere = elsewhere / Math.max(1, candidates.size() - countHere);
+  }
+
+  private boolean isHere(final EndpointState state) {
+    return state.entry().zone().equals(zone);
+  }
+
+  private static int slots(final EndpointState state) {
+    return Math.max(1, state.entry().slots());
   }
 
   @Override
   public double applyAsDouble(final EndpointState state) {
-    final double ahead = state.recentInFlight(memoryMs, nowMs) / Math.max(1, state.entry().slots());
-    final double zoneCost = state.entry().zone().equals(zone) ? 0 : otherZoneCost;
-    return (ahead + 1) * state.pace().at(nowMs) + zoneCost + spread(state);
+    final boolean here = isHere(state);
+    final double ahead =
+        state.recentInFlight(memoryMs, nowMs) / slots(state)
+            + (here ? hiddenHere : hiddenElsewhere);
+    return (ahead + 1) * state.pace().at(nowMs) + (here ? 0 : otherZoneCost) + spread(state);
   }
 
   private double spread(final EndpointState state) {
--- a/src/main/java/org/bulrushweir/balancing/CallTimes.java
+++ b/src/main/java/org/bulrushweir/balancing/CallTimes.java
@@ -20,12 +20,19 @@
   /** The number of buckets; the last one starts at about 15 s. */
   private static final int BUCKETS = 60;
 
-  /** The time after which the recorded times lose a fifth of their weight, in milliseconds. */
+  /** The time after which the recorded times lose a part of their weight, in milliseconds. */
   private static final long DECAY_INTERVAL_MS = 1_000;
 
-  private static final double DECAY = 0.8;
+  /**
+   * The weight that is left after that time. One of 30 gateways may see no more than two calls of a
+   * service per second.
+   */
+  private static final double DECAY = 0.93;
+
+  /** The number of recent calls from which their mean is used. */
+  private static final double MIN_MEAN_CALLS = 5;
 
-  /** The number of recent calls from which their times are used. */
+  /** The number of recent calls from which their distribution is used. */
   private static final double MIN_CALLS = 20;
 
   /** The largest share of calls for which a second attempt is early. */
@@ -92,7 +99,7 @@
    * @return the time in milliseconds, zero while too few calls are known
    */
   double meanMs() {
-    return count < MIN_CALLS ? 0 : sumMs / count;
+    return count < MIN_MEAN_CALLS ? 0 : sumMs / count;
   }
 
   /**
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -96,7 +96,8 @@
     if (prompt.isEmpty()) {
       final ToDoubleFunction<EndpointState> cost =
           settings.statedLoad()
-              ? new CallCost(zone, tracker.observations().callMeanMs(service), draw, nowMs)
+              ? new CallCost(
+                  candidates, zone, tracker.observations().callMeanMs(service), draw, nowMs)
               : state -> callCost(state, draw, nowMs);
       return best(candidates, excluded, cost, ejection, nowMs);
     }
--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -25,6 +25,9 @@
   private long pendingTokens;
   private long heldTokens;
   private long newestPeerLoadMs;
+  private long recentAtMs = Long.MIN_VALUE;
+  private double recentMemoryMs;
+  private double recentPeerInFlight;
   private long peerSumsAtMs = Long.MIN_VALUE;
   private int peerInFlight;
   private long peerPendingTokens;
@@ -105,6 +108,7 @@
    */
   void updatePeerLoad(final NodeId peer, final PeerLoad load, final long nowMs) {
     peerSumsAtMs = Long.MIN_VALUE;
+    recentAtMs = Long.MIN_VALUE;
     if (load == null) {
       peerLoads.remove(peer);
       return;
@@ -155,15 +159,19 @@
    * @return the own calls and the expected remainder of those of peers
    */
   double recentInFlight(final double memoryMs, final long nowMs) {
-    double sum = inFlight;
     if (nowMs - newestPeerLoadMs >= memoryMs) {
-      return sum;
+      return inFlight;
     }
-    for (final TimedLoad load : peerLoads.values()) {
-      final double left = 1 - (nowMs - load.receivedAtMs()) / memoryMs;
-      sum += Math.max(0, left) * load.load().inFlight();
+    if (recentAtMs != nowMs || recentMemoryMs != memoryMs) {
+      recentAtMs = nowMs;
+      recentMemoryMs = memoryMs;
+      recentPeerInFlight = 0;
+      for (final TimedLoad load : peerLoads.values()) {
+        final double left = 1 - (nowMs - load.receivedAtMs()) / memoryMs;
+        recentPeerInFlight += Math.max(0, left) * load.load().inFlight();
+      }
     }
-    return sum;
+    return inFlight + recentPeerInFlight;
   }
 
   /** Adds up the loads of the peers once per millisecond: a selection asks for them repeatedly. */
