--- a/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
+++ b/src/main/java/org/bulrushweir/gateway/ExchangeAttempt.java
@@ -56,6 +56,7 @@
   private final EndpointId endpoint;
   private final Optional<EndpointRecord> cacheSource;
   private final PlacementSnapshot placement;
+  private final AttemptObserver observer;
   private long pendingTokens;
   private EndpointRecord target;
   private EndpointConnection connection;
@@ -100,6 +101,7 @@
     this.cacheSource = core.planner().cacheSource(routed, endpoint, nowMs);
     this.placement = core.planner().recordAttempt(routed, endpoint, cacheSource, nowMs);
     this.pendingTokens = placement.prefillTokens();
+    this.observer = new AttemptObserver(core, routed, endpoint, placement);
   }
 
   AttemptId id() {
@@ -229,6 +231,7 @@
       return;
     }
     connection = acquired;
+    observer.sent();
     // Reported before the write: from here on the request may run.
     owner.handle(new RelayEvent.Sent(id));
     owner.writeRequest(this, acquired);
@@ -287,6 +290,7 @@
       return;
     }
     prefillRecorded = true;
+    observer.firstPart();
     core.planner()
         .recordPrefill(endpoint, placement, routed.head().prompt(), pendingTokens, core.nowMs());
     pendingTokens = 0;
@@ -300,6 +304,7 @@
   void finish(final AttemptOutcome outcome) {
     finished = true;
     recordArrival();
+    observer.finished(outcome);
     core.planner().recordOutcome(endpoint, placement, pendingTokens, outcome, core.nowMs());
     pendingTokens = 0;
   }
@@ -368,7 +373,7 @@
     recordArrival();
     end.onHead(framing, head.success());
     framer.startResponse();
-    recordAnnouncements(received);
+    observer.headReceived(target, received, head);
     if (routed.buffersResponse() && !head.notRun()) {
       buffered = Unpooled.buffer(0);
       return;
@@ -376,16 +381,6 @@
     owner.handle(new RelayEvent.HeadReceived(id, head));
   }
 
-  /** Records what the endpoint says about further requests. */
-  private void recordAnnouncements(final HttpResponse received) {
-    if (ResponseTranslator.announcesLeaving(received)) {
-      core.planner().recordLeaving(target);
-    }
-    if (head.holdOffMs() > 0) {
-      core.planner().recordHoldOff(target, head.holdOffMs(), core.nowMs());
-    }
-  }
-
   @Override
   public void onPart(final ByteBuf part) {
     if (finished) {
