Requests that can still meet their latency objective go first

Change: among the requests of the most urgent waiting rank, those that can still be sent in time go before those that can't.

--- a/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
@@ -8,12 +8,14 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.OrganisationId;
 
 /**
- * The requests that wait for the endpoints of a service, ordered by rank, then by the work done for
- * their organisation, then by the time left to their latency objective.
+ * The requests that wait for the endpoints of a service, ordered by rank, then by whether they can
+ * still meet their latency objective, then by the work done for their organisation, then by the
+ * time left to that objective.
  */
 final class DispatchQueue {
 
@@ -70,22 +72,39 @@
   }
 
   /**
-   * Returns the request whose turn is next.
+   * Returns the request whose turn is next. In the most urgent rank that waits, requests that can
+   * still meet their latency objective go before those that can't: otherwise, while capacity is
+   * short, each request would wait until it is late.
    *
    * @param price the work done for an organisation relative to its share
+   * @param meanMs the mean duration of a request, in milliseconds
+   * @param nowMs the current time, in Unix milliseconds
    * @return the request, empty if none waits
    */
-  Optional<WaitingRequest> first(final ToDoubleFunction<Optional<OrganisationId>> price) {
+  Optional<WaitingRequest> first(
+      final ToDoubleFunction<Optional<OrganisationId>> price,
+      final double meanMs,
+      final long nowMs) {
     if (ranks.isEmpty()) {
       return Optional.empty();
     }
-    return ranks.firstEntry().getValue().entrySet().stream()
+    final Map<Optional<OrganisationId>, Line> lines = ranks.firstEntry().getValue();
+    return cheapest(lines, price, line -> line.firstInTime(meanMs, nowMs))
+        .or(() -> cheapest(lines, price, line -> Optional.of(line.requests.first())));
+  }
+
+  /** Returns the request of the organisation with the lowest price, empty if no line has one. */
+  private static Optional<WaitingRequest> cheapest(
+      final Map<Optional<OrganisationId>, Line> lines,
+      final ToDoubleFunction<Optional<OrganisationId>> price,
+      final Function<Line, Optional<WaitingRequest>> head) {
+    return lines.values().stream()
+        .flatMap(line -> head.apply(line).stream())
         .min(
             Comparator.comparingDouble(
-                    (Map.Entry<Optional<OrganisationId>, Line> line) ->
-                        price.applyAsDouble(line.getKey()))
-                .thenComparing(line -> line.getValue().requests.first(), ORDER))
-        .map(line -> line.getValue().requests.first());
+                    (WaitingRequest waiting) ->
+                        price.applyAsDouble(waiting.request().organisation()))
+                .thenComparing(ORDER));
   }
 
   /**
@@ -200,6 +219,12 @@
       work += waiting.request().work();
     }
 
+    Optional<WaitingRequest> firstInTime(final double meanMs, final long nowMs) {
+      return requests.stream()
+          .filter(waiting -> nowMs <= waiting.request().inTimeUntilMs(meanMs))
+          .findFirst();
+    }
+
     boolean remove(final WaitingRequest waiting) {
       if (!requests.remove(waiting)) {
         return false;
--- a/src/main/java/org/bulrushweir/dispatch/DispatchRequest.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchRequest.java
@@ -32,6 +32,18 @@
    */
   private static final long MAX_ORDER_TARGET_MS = 2_000;
 
+  /**
+   * The multiple of the mean duration that is kept free before the latency objective: most requests
+   * take less.
+   */
+  private static final double DURATION_MARGIN = 1.3;
+
+  /**
+   * The largest share of the latency objective that is kept free. Streams last longer than the time
+   * to their first event, which the objective is about.
+   */
+  private static final double MAX_MARGIN_SHARE = 0.5;
+
   /**
    * Returns the position in the order of its rank and organisation.
    *
@@ -41,6 +53,16 @@
     return sinceMs + Math.min(targetMs, MAX_ORDER_TARGET_MS);
   }
 
+  /**
+   * Returns until when the request must be sent to be answered within its latency objective.
+   *
+   * @param meanMs the mean duration of a request, in milliseconds
+   * @return the time in Unix milliseconds
+   */
+  double inTimeUntilMs(final double meanMs) {
+    return arrivedMs + targetMs - Math.min(DURATION_MARGIN * meanMs, MAX_MARGIN_SHARE * targetMs);
+  }
+
   /**
    * Returns how long the caller waits.
    *
--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -201,7 +201,7 @@
     if (queue.isEmpty()) {
       return Optional.empty();
     }
-    final WaitingRequest first = queue.first(prices(nowMs)).orElseThrow();
+    final WaitingRequest first = queue.first(prices(nowMs), drain.meanMs(), nowMs).orElseThrow();
     final DispatchRequest request = first.request();
     if (!hasRoom(request, load, nowMs)) {
       return Optional.empty();
--- a/src/test/java/org/bulrushweir/dispatch/DispatchLoadTest.java
+++ b/src/test/java/org/bulrushweir/dispatch/DispatchLoadTest.java
@@ -93,6 +93,18 @@
                 "rejected urgent requests"));
   }
 
+  /** Guards against an order in which, under overload, each request waits until it is late. */
+  @ParameterizedTest
+  @CsvSource({"3, 0.75", "12, 0.75", "30, 0.5"})
+  void mostRequestsAreInTimeWhenCapacityIsShort(final int gateways, final double share) {
+    final VirtualFleet fleet = new VirtualFleet(gateways, SLOTS_LEFT, true, SEED);
+    run(fleet, PER_MS * BURST, 1, 0);
+    final double inTime = share(fleet, rank -> true, VirtualFleet.Call::isInTime);
+    final double possible = SLOTS_LEFT / (WORK_MS * PER_MS * BURST);
+    assertTrue(
+        inTime >= share * possible, "in time: " + inTime + ", with no order at most " + possible);
+  }
+
   /** Guards against an organisation that takes the capacity of others by asking for more. */
   @ParameterizedTest
   @CsvSource({"3", "12", "30"})
