Command explain: where a gateway would send a request now, and why

Cause: operators could only infer from metrics and log lines why a request goes to an endpoint, waits or is rejected.

Change: GET /explain on the metrics listener (not the readiness port) runs the code of the decisions without side effects: RequestAdmission.preview, ServiceDispatcher.preview (the decision of a copy, because a decision records demand and refreshes cached sums) and EndpointSelector.explain. PromptCost and CallCost state their terms (CostTerms); the selection compares their sum. The command prints text or JSON; an organisation is given by name, never by key.

--- a/src/main/java/org/bulrushweir/balancing/CallCost.java
+++ b/src/main/java/org/bulrushweir/balancing/CallCost.java
@@ -1,7 +1,6 @@
 package org.bulrushweir.balancing;
 
 import java.util.List;
-import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.routing.BitMixer;
 
@@ -11,7 +10,7 @@
  * known only for the short time that calls last; how many there are in the zone is known for
  * longer.
  */
-final class CallCost implements ToDoubleFunction<EndpointState> {
+final class CallCost implements EndpointCost {
 
   /** The delay of an endpoint in another availability zone, in milliseconds: a round trip. */
   private static final double OTHER_ZONE_MS = 3;
@@ -93,12 +92,21 @@
   }
 
   @Override
-  public double applyAsDouble(final EndpointState state) {
+  public CostTerms terms(final EndpointState state) {
     final boolean here = isHere(state);
     final double ahead =
         state.recentInFlight(memoryMs, nowMs) / slots(state)
             + (here ? hiddenHere : hiddenElsewhere);
-    return (ahead + 1) * state.pace().at(nowMs) + (here ? 0 : otherZoneCost) + spread(state);
+    return new CostTerms(
+        1,
+        0,
+        0,
+        ahead,
+        0,
+        (ahead + 1) * (state.pace().at(nowMs) - EndpointPace.USUAL),
+        here ? 0 : otherZoneCost,
+        spread(state),
+        0);
   }
 
   private double spread(final EndpointState state) {
--- a/src/main/java/org/bulrushweir/balancing/EndpointPace.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointPace.java
@@ -1,5 +1,7 @@
 package org.bulrushweir.balancing;
 
+import java.util.OptionalLong;
+
 /**
  * Estimates how many times longer than usual work takes at an endpoint, from what the endpoint
  * states or, if it states nothing, from the measured times of its calls. VMs are slowed down for
@@ -81,6 +83,16 @@
     return ageMs >= validMs ? USUAL : USUAL + (observed - USUAL) * (validMs - ageMs) / validMs;
   }
 
+  /**
+   * Returns the age of the pace that the endpoint stated last.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the age in milliseconds, empty if it has stated none
+   */
+  OptionalLong statedAgeMs(final long nowMs) {
+    return statedAtMs == 0 ? OptionalLong.empty() : OptionalLong.of(nowMs - statedAtMs);
+  }
+
   /**
    * Returns how long the last observation says something. A slowdown that has lasted longer than
    * usual is one of those that take seconds.
--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -1,9 +1,9 @@
 package org.bulrushweir.balancing;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.api.ZoneName;
@@ -89,32 +89,85 @@
       final long draw,
       final Set<EndpointId> excluded,
       final long nowMs) {
+    final List<EndpointState> candidates = tracker.candidates(request.service(), nowMs);
+    final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
+    final EndpointCost cost = cost(candidates, ejection, request, draw, nowMs);
+    return best(candidates, excluded, cost, ejection, nowMs);
+  }
+
+  /**
+   * Explains which endpoint would be selected. Changes nothing.
+   *
+   * @param request the request
+   * @param draw a pseudo-random number that breaks ties between endpoints of a call
+   * @param excluded the endpoints that the request must not be sent to
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the endpoints that are neither draining nor filtered out, the most preferred first; the
+   *     first one would be selected if it is selectable
+   */
+  public List<EndpointExplanation> explain(
+      final RequestProfile request,
+      final long draw,
+      final Set<EndpointId> excluded,
+      final long nowMs) {
+    final List<EndpointState> candidates = tracker.candidates(request.service(), nowMs);
+    final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
+    final EndpointCost cost = cost(candidates, ejection, request, draw, nowMs);
+    return candidates.stream()
+        .map(
+            state ->
+                explain(state, cost, request, standing(state, excluded, ejection, nowMs), nowMs))
+        .sorted(
+            Comparator.comparing(EndpointExplanation::standing)
+                .thenComparingDouble(explanation -> explanation.terms().total()))
+        .toList();
+  }
+
+  private static EndpointExplanation explain(
+      final EndpointState state,
+      final EndpointCost cost,
+      final RequestProfile request,
+      final EndpointExplanation.Standing standing,
+      final long nowMs) {
+    final boolean isHashOwner = cost instanceof PromptCost prompt && prompt.isHashOwner(state);
+    return new EndpointExplanation(
+        state.entry(),
+        standing,
+        cost.terms(state),
+        isHashOwner,
+        state.prefixCache().cachedTokens(request.prompt()),
+        cost instanceof PromptCost prompt ? prompt.transferredTokens(state) : 0,
+        state.inFlight(nowMs),
+        state.ownInFlight(),
+        state.pace().at(nowMs),
+        state.health().heldOffForMs(nowMs),
+        state.ownSendAgeMs(nowMs),
+        state.peerReportAgeMs(nowMs),
+        state.pace().statedAgeMs(nowMs));
+  }
+
+  private EndpointCost cost(
+      final List<EndpointState> candidates,
+      final EjectionPolicy ejection,
+      final RequestProfile request,
+      final long draw,
+      final long nowMs) {
     final ServiceName service = request.service();
     final List<PromptSegment> prompt = request.prompt();
-    final List<EndpointState> candidates = tracker.candidates(service, nowMs);
-    final EjectionPolicy ejection = new EjectionPolicy(candidates, nowMs);
     if (prompt.isEmpty()) {
-      final ToDoubleFunction<EndpointState> cost =
-          settings.statedLoad()
-              ? new CallCost(
-                  candidates, zone, tracker.observations().callMeanMs(service), draw, nowMs)
-              : state -> callCost(state, draw, nowMs);
-      return best(candidates, excluded, cost, ejection, nowMs);
+      return settings.statedLoad()
+          ? new CallCost(candidates, zone, tracker.observations().callMeanMs(service), draw, nowMs)
+          : state -> callTerms(state, draw, nowMs);
     }
-    final double bound = bound(candidates, nowMs);
-    final EndpointState hashOwner = HashOwner.find(candidates, prompt, ejection);
-    final int maxCached = tracker.states().maxPrefilledTokens(service, prompt, nowMs);
-    final PromptCost cost =
-        new PromptCost(
-            settings,
-            zone,
-            request,
-            hashOwner,
-            bound,
-            tracker.states().kvCapacityTokens(service),
-            maxCached,
-            nowMs);
-    return best(candidates, excluded, cost, ejection, nowMs);
+    return new PromptCost(
+        settings,
+        zone,
+        request,
+        HashOwner.find(candidates, prompt, ejection),
+        bound(candidates, nowMs),
+        tracker.states().kvCapacityTokens(service),
+        tracker.states().maxPrefilledTokens(service, prompt, nowMs),
+        nowMs);
   }
 
   /**
@@ -157,18 +210,20 @@
   private static Optional<EndpointId> best(
       final List<EndpointState> candidates,
       final Set<EndpointId> excluded,
-      final ToDoubleFunction<EndpointState> cost,
+      final EndpointCost cost,
       final EjectionPolicy ejection,
       final long nowMs) {
     EndpointState best = null;
     double bestCost = 0;
     boolean bestEjected = true;
     for (final EndpointState state : candidates) {
-      if (excluded.contains(state.entry().id()) || state.health().heldOffForMs(nowMs) > 0) {
+      final EndpointExplanation.Standing standing = standing(state, excluded, ejection, nowMs);
+      if (standing == EndpointExplanation.Standing.EXCLUDED
+          || standing == EndpointExplanation.Standing.HELD_OFF) {
         continue;
       }
-      final boolean ejected = ejection.avoids(state);
-      final double stateCost = cost.applyAsDouble(state);
+      final boolean ejected = standing == EndpointExplanation.Standing.EJECTED;
+      final double stateCost = cost.terms(state).total();
       final boolean better = ejected == bestEjected ? stateCost < bestCost : bestEjected;
       if (best == null || better) {
         best = state;
@@ -179,10 +234,33 @@
     return Optional.ofNullable(best).map(state -> state.entry().id());
   }
 
-  private double callCost(final EndpointState state, final long draw, final long nowMs) {
-    final double used = (double) state.inFlight(nowMs) / Math.max(1, state.entry().slots());
-    final double zoneCost = state.entry().zone().equals(zone) ? 0 : settings.otherZoneShare();
-    return used + zoneCost + unitFraction(draw ^ state.key()) * settings.tieShare();
+  private static EndpointExplanation.Standing standing(
+      final EndpointState state,
+      final Set<EndpointId> excluded,
+      final EjectionPolicy ejection,
+      final long nowMs) {
+    if (excluded.contains(state.entry().id())) {
+      return EndpointExplanation.Standing.EXCLUDED;
+    }
+    if (state.health().heldOffForMs(nowMs) > 0) {
+      return EndpointExplanation.Standing.HELD_OFF;
+    }
+    return ejection.avoids(state)
+        ? EndpointExplanation.Standing.EJECTED
+        : EndpointExplanation.Standing.USABLE;
+  }
+
+  private CostTerms callTerms(final EndpointState state, final long draw, final long nowMs) {
+    return new CostTerms(
+        0,
+        0,
+        0,
+        (double) state.inFlight(nowMs) / Math.max(1, state.entry().slots()),
+        0,
+        0,
+        state.entry().zone().equals(zone) ? 0 : settings.otherZoneShare(),
+        unitFraction(draw ^ state.key()) * settings.tieShare(),
+        0);
   }
 
   /**
--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.bulrushweir.api.NodeId;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.membership.EndpointTable;
@@ -25,6 +26,7 @@
   private long pendingTokens;
   private long heldTokens;
   private long newestPeerLoadMs;
+  private long lastSentMs;
   private long recentAtMs = Long.MIN_VALUE;
   private double recentMemoryMs;
   private double recentPeerInFlight;
@@ -95,6 +97,20 @@
     pendingTokens += tokens;
   }
 
+  void recordSend(final long nowMs) {
+    lastSentMs = nowMs;
+  }
+
+  /** Returns the age of this gateway's last request to it, empty without one. */
+  OptionalLong ownSendAgeMs(final long nowMs) {
+    return lastSentMs == 0 ? OptionalLong.empty() : OptionalLong.of(nowMs - lastSentMs);
+  }
+
+  /** Returns the age of the newest report of a peer with a request here, empty without one. */
+  OptionalLong peerReportAgeMs(final long nowMs) {
+    return newestPeerLoadMs == 0 ? OptionalLong.empty() : OptionalLong.of(nowMs - newestPeerLoadMs);
+  }
+
   void adjustHeldTokens(final long tokens) {
     heldTokens += tokens;
   }
--- a/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointTracker.java
@@ -225,6 +225,7 @@
             heldTokens,
             observations.expectedMs(state, prompt, cached, nowMs));
     state.adjustLoad(1, snapshot.prefillTokens());
+    state.recordSend(nowMs);
     state.adjustHeldTokens(heldTokens);
     if (!prompt.isEmpty()) {
       prefills.record(state, prompt, snapshot, nowMs);
--- a/src/main/java/org/bulrushweir/balancing/PromptCost.java
+++ b/src/main/java/org/bulrushweir/balancing/PromptCost.java
@@ -1,6 +1,5 @@
 package org.bulrushweir.balancing;
 
-import java.util.function.ToDoubleFunction;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.routing.BitMixer;
 
@@ -8,7 +7,7 @@
  * The cost of an engine for a prompt, in milliseconds: an estimate of the time to first token and
  * of the delay for the other requests of the engine.
  */
-final class PromptCost implements ToDoubleFunction<EndpointState> {
+final class PromptCost implements EndpointCost {
 
   /** The weight of the prefill of a token that no engine has cached. */
   private static final double MISS_WEIGHT = 4;
@@ -91,14 +90,13 @@
   }
 
   @Override
-  public double applyAsDouble(final EndpointState state) {
+  public CostTerms terms(final EndpointState state) {
     final int inFlight = state.inFlight(nowMs);
     if (inFlight >= bound || inFlight > 0 && state.heldTokens(nowMs) > kvLimit) {
-      return bound + inFlight * settings.overBoundMs();
+      return CostTerms.ofOverBound(bound + inFlight * settings.overBoundMs());
     }
-    final int cached = state.prefixCache().cachedTokens(request.prompt());
-    final int transferred = Math.max(0, maxCached - cached);
-    double missed = total - cached - transferred;
+    final int transferred = transferredTokens(state);
+    final double missed = total - state.prefixCache().cachedTokens(request.prompt()) - transferred;
     double pending = state.pendingTokens(nowMs);
     double pace = EndpointPace.USUAL;
     double spreadMs = 0;
@@ -111,14 +109,42 @@
         spreadMs = spreadMs(state);
       }
     }
-    if (state == hashOwner && maxCached < shared) {
-      missed -= HASH_OWNER_CREDIT * (shared - maxCached);
-    }
-    final double prefillMs =
-        (MISS_WEIGHT * missed + TRANSFER_WEIGHT * transferred + pending)
-            / settings.prefillTokensPerMs();
-    final double zoneMs = state.entry().zone().equals(zone) ? 0 : OTHER_ZONE_MS;
-    return (prefillMs + RUNNING_MS * inFlight) * pace + zoneMs + spreadMs;
+    final double credit =
+        state == hashOwner && maxCached < shared ? HASH_OWNER_CREDIT * (shared - maxCached) : 0;
+    final double missedMs = prefillMs(MISS_WEIGHT * missed);
+    final double transferMs = prefillMs(TRANSFER_WEIGHT * transferred);
+    final double backlogMs = prefillMs(pending);
+    final double runningMs = RUNNING_MS * inFlight;
+    final double creditMs = prefillMs(MISS_WEIGHT * credit);
+    final double usualMs = missedMs + transferMs + backlogMs + runningMs - creditMs;
+    return new CostTerms(
+        missedMs,
+        transferMs,
+        backlogMs,
+        runningMs,
+        -creditMs,
+        usualMs * (pace - EndpointPace.USUAL),
+        state.entry().zone().equals(zone) ? 0 : OTHER_ZONE_MS,
+        spreadMs,
+        0);
+  }
+
+  /**
+   * Returns the part of the prompt that another engine transfers.
+   *
+   * @param state the engine that gets the prompt
+   * @return the number of tokens
+   */
+  int transferredTokens(final EndpointState state) {
+    return Math.max(0, maxCached - state.prefixCache().cachedTokens(request.prompt()));
+  }
+
+  boolean isHashOwner(final EndpointState state) {
+    return state == hashOwner;
+  }
+
+  private double prefillMs(final double tokens) {
+    return tokens / settings.prefillTokensPerMs();
   }
 
   private boolean isShort(final double tokens) {
--- a/src/main/java/org/bulrushweir/catalog/RoutingPlan.java
+++ b/src/main/java/org/bulrushweir/catalog/RoutingPlan.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.api.ServiceName;
 
 /** One version of the routing plan: the configuration that the operators have put in force. */
@@ -111,6 +112,18 @@
     return Optional.ofNullable(tenantsByKey.get(key));
   }
 
+  /**
+   * Finds an organisation by its name.
+   *
+   * @param organisation the organisation
+   * @return the organisation with the most urgent priority of its keys, empty if it has no key
+   */
+  public Optional<Tenant> tenantNamed(final OrganisationId organisation) {
+    return tenantsByKey.values().stream()
+        .filter(tenant -> tenant.organisation().equals(organisation))
+        .min(Comparator.comparingInt(tenant -> tenant.priority().orElse(Integer.MAX_VALUE)));
+  }
+
   /**
    * Finds the plan of a service.
    *
--- a/src/main/java/org/bulrushweir/coldstart/ColdBudget.java
+++ b/src/main/java/org/bulrushweir/coldstart/ColdBudget.java
@@ -112,6 +112,23 @@
       final Collection<EndpointRecord> candidates,
       final List<PromptSegment> prompt,
       final long nowMs) {
+    final Set<EndpointId> unavailable = previewUnavailable(candidates, prompt, nowMs);
+    keptAway += unavailable.isEmpty() ? 0 : 1;
+    return unavailable;
+  }
+
+  /**
+   * Returns the same as {@link #unavailable} without counting the request.
+   *
+   * @param candidates the endpoints of the request's service
+   * @param prompt the segments of the request's prompt in order, empty for a call
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the endpoints, empty if none is cold
+   */
+  public Set<EndpointId> previewUnavailable(
+      final Collection<EndpointRecord> candidates,
+      final List<PromptSegment> prompt,
+      final long nowMs) {
     Set<EndpointId> unavailable = Set.of();
     for (final EndpointRecord endpoint : candidates) {
       if (isLimited(endpoint, nowMs) && !hasRoom(endpoint, prompt, nowMs)) {
@@ -119,10 +136,20 @@
         unavailable.add(endpoint.id());
       }
     }
-    keptAway += unavailable.isEmpty() ? 0 : 1;
     return unavailable;
   }
 
+  /**
+   * Returns how long an endpoint stays cold.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time in milliseconds, zero if it is warm
+   */
+  public long coldForMs(final EndpointRecord endpoint, final long nowMs) {
+    return endpoints.coldForMs(endpoint.id(), nowMs);
+  }
+
   private boolean hasRoom(
       final EndpointRecord endpoint, final List<PromptSegment> prompt, final long nowMs) {
     final int share = share(endpoint, nowMs);
--- a/src/main/java/org/bulrushweir/command/Main.java
+++ b/src/main/java/org/bulrushweir/command/Main.java
@@ -25,6 +25,7 @@
                 new SubmitCommand(),
                 new ShowCommand(),
                 new StatusCommand(),
+                new ExplainCommand(),
                 new DrainCommand(),
                 new TimelineCommand(),
                 new PlatformStandInCommand(),
--- a/src/main/java/org/bulrushweir/dispatch/DecayingSum.java
+++ b/src/main/java/org/bulrushweir/dispatch/DecayingSum.java
@@ -16,6 +16,14 @@
     this.decayMs = decayMs;
   }
 
+  /** Returns an independent copy. */
+  DecayingSum copy() {
+    final DecayingSum copy = new DecayingSum(decayMs);
+    copy.value = value;
+    copy.updatedMs = updatedMs;
+    return copy;
+  }
+
   /**
    * Adds a term.
    *
--- a/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
@@ -32,6 +32,13 @@
     return size == 0;
   }
 
+  /** Returns an independent copy. */
+  DispatchQueue copy() {
+    final DispatchQueue copy = new DispatchQueue();
+    lines().forEach(line -> line.forEach(copy::add));
+    return copy;
+  }
+
   /**
    * Adds a request.
    *
--- a/src/main/java/org/bulrushweir/dispatch/DrainRate.java
+++ b/src/main/java/org/bulrushweir/dispatch/DrainRate.java
@@ -21,6 +21,17 @@
   private double meanWork;
   private long firstMs = -1;
 
+  /** Returns an independent copy. */
+  DrainRate copy() {
+    final DrainRate copy = new DrainRate();
+    System.arraycopy(doneWork, 0, copy.doneWork, 0, BUCKETS);
+    System.arraycopy(bucketNumbers, 0, copy.bucketNumbers, 0, BUCKETS);
+    copy.meanMs = meanMs;
+    copy.meanWork = meanWork;
+    copy.firstMs = firstMs;
+    return copy;
+  }
+
   /**
    * Records a completed request.
    *
--- a/src/main/java/org/bulrushweir/dispatch/OrganisationLedger.java
+++ b/src/main/java/org/bulrushweir/dispatch/OrganisationLedger.java
@@ -54,6 +54,15 @@
     return accounts.computeIfAbsent(organisation, key -> new Account());
   }
 
+  /** Returns an independent copy. */
+  OrganisationLedger copy() {
+    final OrganisationLedger copy = new OrganisationLedger();
+    accounts.forEach((organisation, account) -> copy.accounts.put(organisation, account.copy()));
+    copy.meanAsked = meanAsked;
+    copy.meanAskedAtMs = meanAskedAtMs;
+    return copy;
+  }
+
   /**
    * Records that a request has arrived.
    *
@@ -155,7 +164,20 @@
 
   /** The work of one organisation. */
   private static final class Account {
-    private final DecayingSum asked = new DecayingSum(DECAY_MS);
-    private final DecayingSum done = new DecayingSum(DECAY_MS);
+    private final DecayingSum asked;
+    private final DecayingSum done;
+
+    private Account() {
+      this(new DecayingSum(DECAY_MS), new DecayingSum(DECAY_MS));
+    }
+
+    private Account(final DecayingSum asked, final DecayingSum done) {
+      this.asked = asked;
+      this.done = done;
+    }
+
+    private Account copy() {
+      return new Account(asked.copy(), done.copy());
+    }
   }
 }
--- a/src/main/java/org/bulrushweir/dispatch/PeerDemands.java
+++ b/src/main/java/org/bulrushweir/dispatch/PeerDemands.java
@@ -24,6 +24,15 @@
   private final Map<OrganisationId, Double> sums = new HashMap<>();
   private long sumsAtMs;
 
+  /** Returns an independent copy. */
+  PeerDemands copy() {
+    final PeerDemands copy = new PeerDemands();
+    copy.peers.putAll(peers);
+    copy.sums.putAll(sums);
+    copy.sumsAtMs = sumsAtMs;
+    return copy;
+  }
+
   /**
    * Replaces what a peer has reported.
    *
--- a/src/main/java/org/bulrushweir/dispatch/RejectedPrompts.java
+++ b/src/main/java/org/bulrushweir/dispatch/RejectedPrompts.java
@@ -54,7 +54,23 @@
    */
   public long sinceMs(
       final Optional<OrganisationId> organisation, final long prompt, final long nowMs) {
-    final Rejected rejected = prompts.remove(new Key(organisation, prompt));
+    return turnMs(prompts.remove(new Key(organisation, prompt)), nowMs);
+  }
+
+  /**
+   * Returns the same as {@link #sinceMs} without forgetting the prompt.
+   *
+   * @param organisation the organisation
+   * @param prompt a hash of the prompt
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time in Unix milliseconds, now for a new prompt
+   */
+  public long previewSinceMs(
+      final Optional<OrganisationId> organisation, final long prompt, final long nowMs) {
+    return turnMs(prompts.get(new Key(organisation, prompt)), nowMs);
+  }
+
+  private static long turnMs(final Rejected rejected, final long nowMs) {
     return rejected == null || nowMs < rejected.returnMs || nowMs > rejected.returnMs + RETURN_MS
         ? nowMs
         : rejected.sinceMs;
--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -36,12 +36,12 @@
   /** The time by which urgent requests may be ahead of their interval, in milliseconds. */
   private static final long MAX_AHEAD_MS = 300;
 
-  private final DispatchQueue queue = new DispatchQueue();
-  private final OrganisationLedger ledger = new OrganisationLedger();
-  private final DrainRate drain = new DrainRate();
-  private final PeerDemands peers = new PeerDemands();
-  private final WaitEstimator estimator = new WaitEstimator(queue, ledger, drain);
-  private final TreeMap<Integer, Long> sentMsByRank = new TreeMap<>();
+  private final DispatchQueue queue;
+  private final OrganisationLedger ledger;
+  private final DrainRate drain;
+  private final PeerDemands peers;
+  private final WaitEstimator estimator;
+  private final TreeMap<Integer, Long> sentMsByRank;
   private final DispatchPolicy policy;
   private Optional<Rejection> displaced = Optional.empty();
   private long lastRequestMs = -ACTIVE_MS;
@@ -54,6 +54,24 @@
    */
   public ServiceDispatcher(final DispatchPolicy policy) {
     this.policy = policy;
+    this.queue = new DispatchQueue();
+    this.ledger = new OrganisationLedger();
+    this.drain = new DrainRate();
+    this.peers = new PeerDemands();
+    this.estimator = new WaitEstimator(queue, ledger, drain);
+    this.sentMsByRank = new TreeMap<>();
+  }
+
+  /** Creates an independent copy. */
+  private ServiceDispatcher(final ServiceDispatcher original) {
+    this.policy = original.policy;
+    this.queue = original.queue.copy();
+    this.ledger = original.ledger.copy();
+    this.drain = original.drain.copy();
+    this.peers = original.peers.copy();
+    this.estimator = original.estimator.copy(queue, ledger, drain);
+    this.sentMsByRank = new TreeMap<>(original.sentMsByRank);
+    this.nextMs = original.nextMs;
   }
 
   /**
@@ -97,6 +115,20 @@
     };
   }
 
+  /**
+   * Tells what would be decided on a request that arrived now, by offering it to a copy: a decision
+   * itself records demand and refreshes sums that later decisions use.
+   *
+   * @param request the request
+   * @param load the load of the service
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the decision
+   */
+  public DispatchDecision preview(
+      final DispatchRequest request, final ServiceLoad load, final long nowMs) {
+    return new ServiceDispatcher(this).offer(request, load, nowMs);
+  }
+
   private Outlook outlook(
       final DispatchRequest request,
       final double lineWork,
--- a/src/main/java/org/bulrushweir/dispatch/WaitEstimator.java
+++ b/src/main/java/org/bulrushweir/dispatch/WaitEstimator.java
@@ -32,6 +32,21 @@
     this.drain = drain;
   }
 
+  /**
+   * Returns an independent copy.
+   *
+   * @param newQueue a copy of the queue
+   * @param newLedger a copy of the ledger
+   * @param newDrain a copy of the drain rate
+   * @return the copy
+   */
+  WaitEstimator copy(
+      final DispatchQueue newQueue, final OrganisationLedger newLedger, final DrainRate newDrain) {
+    final WaitEstimator copy = new WaitEstimator(newQueue, newLedger, newDrain);
+    askedByRank.forEach((rank, asked) -> copy.askedByRank.put(rank, asked.copy()));
+    return copy;
+  }
+
   /**
    * Records that a request has arrived.
    *
--- a/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
+++ b/src/main/java/org/bulrushweir/gateway/AttemptPlanner.java
@@ -9,6 +9,7 @@
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ServiceName;
 import org.bulrushweir.balancing.AttemptOutcome;
+import org.bulrushweir.balancing.EndpointExplanation;
 import org.bulrushweir.balancing.EndpointObservations;
 import org.bulrushweir.balancing.EndpointSelector;
 import org.bulrushweir.balancing.EndpointTracker;
@@ -96,6 +97,26 @@
         nowMs);
   }
 
+  /**
+   * Explains which endpoint would be selected for a request. Changes nothing.
+   *
+   * @param routed the request
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the endpoints that are neither draining nor filtered out, the most preferred first
+   */
+  List<EndpointExplanation> explain(final RoutedRequest routed, final long nowMs) {
+    final Set<EndpointId> cold =
+        coldBudget.previewUnavailable(
+            directory.endpoints(routed.service()), routed.head().prompt(), nowMs);
+    return selector.explain(
+        routed.profile(), BitMixer.mix(routed.head().id().hashCode()), cold, nowMs);
+  }
+
+  /** Returns the same as {@link #findQuarantined} without recording the request. */
+  OptionalLong previewQuarantined(final List<PromptSegment> prompt) {
+    return quarantine.previewQuarantined(prompt);
+  }
+
   /** Adds the cold endpoints that the request must not be sent to. */
   private Set<EndpointId> withCold(
       final RoutedRequest routed, final Set<EndpointId> excluded, final long nowMs) {
--- a/src/main/java/org/bulrushweir/gateway/DispatchGate.java
+++ b/src/main/java/org/bulrushweir/gateway/DispatchGate.java
@@ -124,23 +124,60 @@
     dispatcher.takeDisplaced().ifPresent(this::reject);
   }
 
+  /**
+   * Tells what would happen to a request that arrived now. Changes nothing.
+   *
+   * @param routed the request
+   * @return the decision and what it rests on, empty if requests are sent without a queue
+   */
+  Optional<DispatchPreview> preview(final RoutedRequest routed) {
+    if (!settings.queue()) {
+      return Optional.empty();
+    }
+    final long nowMs = clock.nowMs();
+    final ServiceDispatcher known = services.get(routed.service());
+    final ServiceDispatcher dispatcher = known == null ? new ServiceDispatcher(policy) : known;
+    final List<PromptSegment> prompt = routed.head().prompt();
+    final long sinceMs =
+        prompt.isEmpty()
+            ? routed.arrivedMs()
+            : rejectedPrompts.previewSinceMs(routed.organisation(), hash(prompt), nowMs);
+    final ServiceLoad load = load(routed, dispatcher, nowMs);
+    return Optional.of(
+        new DispatchPreview(
+            dispatcher.preview(request(routed, dispatcher, lastNumber + 1, sinceMs), load, nowMs),
+            load,
+            dispatcher.waiting()));
+  }
+
   private DispatchRequest request(
       final RoutedRequest routed, final ServiceDispatcher dispatcher, final long nowMs) {
     lastNumber++;
     final List<PromptSegment> prompt = routed.head().prompt();
+    final long sinceMs =
+        prompt.isEmpty()
+            ? routed.arrivedMs()
+            : rejectedPrompts.sinceMs(routed.organisation(), hash(prompt), nowMs);
+    return request(routed, dispatcher, lastNumber, sinceMs);
+  }
+
+  private static DispatchRequest request(
+      final RoutedRequest routed,
+      final ServiceDispatcher dispatcher,
+      final long number,
+      final long sinceMs) {
+    final List<PromptSegment> prompt = routed.head().prompt();
     final double work =
         prompt.isEmpty()
             ? dispatcher.expectedMs()
             : PromptSegment.tokens(prompt)
                 + routed.head().outputTokens().orElse(DEFAULT_OUTPUT_TOKENS);
     return new DispatchRequest(
-        lastNumber,
+        number,
         routed.priority(),
         routed.organisation(),
         routed.arrivedMs(),
-        prompt.isEmpty()
-            ? routed.arrivedMs()
-            : rejectedPrompts.sinceMs(routed.organisation(), hash(prompt), nowMs),
+        sinceMs,
         routed.route().latencyTargetMs(),
         routed.limits().deadlineMs(),
         work);
--- a/src/main/java/org/bulrushweir/gateway/EndpointListener.java
+++ b/src/main/java/org/bulrushweir/gateway/EndpointListener.java
@@ -24,6 +24,7 @@
   private final RegistrationObserver observer;
   private boolean restored;
   private boolean lastChangesMinor;
+  private long confirmedAtMs;
 
   /**
    * Creates the listener.
@@ -127,10 +128,21 @@
   }
 
   @Override
-  public void onUpToDate(final long confirmedAtMs) {
+  public void onUpToDate(final long asOfMs) {
+    confirmedAtMs = Math.max(confirmedAtMs, asOfMs);
     directory.markStoreReachable(clock.nowMs());
   }
 
+  /**
+   * Returns the age of the registrations.
+   *
+   * @param nowMs the current time, in Unix milliseconds
+   * @return the time since the store confirmed them, in milliseconds
+   */
+  long ageMs(final long nowMs) {
+    return nowMs - confirmedAtMs;
+  }
+
   /** Endpoints that have registered since the copy are missing from it, as after an outage. */
   @Override
   public void onRestored(final long answeredUntilMs) {
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.CallerLimits;
 import org.bulrushweir.catalog.RoutingPlan;
@@ -274,6 +275,12 @@
     return admission.decide(head, arrivedMs, drainingForMs(), exiting);
   }
 
+  /** Tells what would be decided on a request of an organisation. Changes nothing. */
+  RequestAdmission.Decision preview(
+      final RequestHead head, final Optional<OrganisationId> organisation) {
+    return admission.preview(head, organisation, drainingForMs(), exiting);
+  }
+
   void refuse(
       final CallerConnection caller, final String id, final RequestAdmission.Rejected rejected) {
     log.recordRefusal(id, rejected.status().code(), rejected.detail());
--- a/src/main/java/org/bulrushweir/gateway/GatewayServers.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayServers.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.bulrushweir.api.Clock;
 import org.bulrushweir.settings.SocketAddressSettings;
 
@@ -98,10 +99,11 @@
    * Starts a server for readiness and metrics.
    *
    * @param address the address to listen on
+   * @param explainer explains where requests would be sent, empty to serve no explanations
    * @return the bound port
    */
-  int bindStatus(final SocketAddressSettings address) {
-    final StatusHandler handler = new StatusHandler(core, metrics);
+  int bindStatus(final SocketAddressSettings address, final Optional<RequestExplainer> explainer) {
+    final StatusHandler handler = new StatusHandler(core, metrics, explainer);
     return bind(
         address,
         new ChannelInitializer<Channel>() {
--- a/src/main/java/org/bulrushweir/gateway/GatewayService.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayService.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -80,12 +81,14 @@
   private final PromptQuarantine quarantine = new PromptQuarantine();
   private final PeerMesh mesh;
   private final EndpointListener endpointListener;
+  private final RequestExplainer explainer;
   private final EvacuationMonitor evacuation;
   private final ColdStartMonitor coldStart;
   private final ConnectionPool pool;
   private final List<TableFollower> followers;
   private int callersPort;
   private int statusPort;
+  private int metricsPort;
 
   /**
    * Creates a gateway.
@@ -166,8 +169,8 @@
     gate.whenTablesRead(registration::start);
     this.endpointListener = new EndpointListener(directory, clock, coldStart);
     this.followers = followers(tables, registration, gate, planListener(activePlan, zones));
+    this.explainer = explainer(activePlan, directory, planner, zones, dispatch);
     addGauges(activePlan, tracker, log);
-    coldStart.addMetrics(metrics);
   }
 
   private List<ReportSection> reportSections(
@@ -234,6 +237,21 @@
         coldStart.budget());
   }
 
+  private RequestExplainer explainer(
+      final ActivePlan activePlan,
+      final EndpointDirectory directory,
+      final AttemptPlanner planner,
+      final EvacuatedZones zones,
+      final DispatchGate dispatch) {
+    return new RequestExplainer(
+        clock,
+        activePlan,
+        core,
+        dispatch,
+        new EndpointExplainer(
+            directory, planner, zones, coldStart.budget(), endpointListener::ageMs));
+  }
+
   private static EndpointTracker tracker(
       final GatewaySettings settings,
       final ActivePlan activePlan,
@@ -254,6 +272,7 @@
   private void addGauges(
       final ActivePlan activePlan, final EndpointTracker tracker, final AsyncLogWriter log) {
     evacuation.addGauges(metrics);
+    coldStart.addMetrics(metrics);
     metrics.gauge(
         "bulrushweir_gateway_endpoints_held_off",
         "Endpoints that asked for no requests for a while.",
@@ -298,12 +317,21 @@
     return statusPort;
   }
 
+  /**
+   * Returns the port that serves metrics and explanations.
+   *
+   * @return the bound port, zero before the start
+   */
+  public int metricsPort() {
+    return metricsPort;
+  }
+
   @Override
   public void start() {
     final GatewayServers servers = new GatewayServers(loops.group(), core, metrics, clock);
     callersPort = servers.acceptCallers(socket);
-    statusPort = servers.bindStatus(settings.readiness());
-    servers.bindStatus(settings.metrics());
+    statusPort = servers.bindStatus(settings.readiness(), Optional.empty());
+    metricsPort = servers.bindStatus(settings.metrics(), Optional.of(explainer));
     final SocketAddressSettings peers = settings.peers();
     mesh.socketBound(
         DatagramTransport.bind(loops.group(), peers.host(), peers.port(), mesh::receive));
--- a/src/main/java/org/bulrushweir/gateway/RequestAdmission.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestAdmission.java
@@ -1,11 +1,15 @@
 package org.bulrushweir.gateway;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import org.bulrushweir.api.Clock;
+import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.catalog.ActivePlan;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
@@ -124,6 +128,45 @@
       final long arrivedMs,
       final OptionalLong drainingForMs,
       final boolean exiting) {
+    return decideFor(
+        head,
+        plan -> head.apiKey().flatMap(plan::tenant),
+        prompt -> planner.findQuarantined(prompt, clock.nowMs()),
+        arrivedMs,
+        drainingForMs,
+        exiting);
+  }
+
+  /**
+   * Tells what would be decided on a request of an organisation that arrived now. Changes nothing.
+   *
+   * @param head the request's head
+   * @param organisation the organisation, empty for a request without a key
+   * @param drainingForMs the time since the stop signal, in milliseconds, empty without one
+   * @param exiting whether the process is about to exit
+   * @return the decision
+   */
+  Decision preview(
+      final RequestHead head,
+      final Optional<OrganisationId> organisation,
+      final OptionalLong drainingForMs,
+      final boolean exiting) {
+    return decideFor(
+        head,
+        plan -> organisation.flatMap(plan::tenantNamed),
+        planner::previewQuarantined,
+        clock.nowMs(),
+        drainingForMs,
+        exiting);
+  }
+
+  private Decision decideFor(
+      final RequestHead head,
+      final Function<RoutingPlan, Optional<Tenant>> tenants,
+      final Function<List<PromptSegment>, OptionalLong> quarantine,
+      final long arrivedMs,
+      final OptionalLong drainingForMs,
+      final boolean exiting) {
     if (activePlan.current().isEmpty()) {
       return unavailable("no configuration has been read yet");
     }
@@ -135,7 +178,7 @@
     if (route.isEmpty()) {
       return denied(HttpResponseStatus.NOT_FOUND, "no matching route");
     }
-    final Optional<Tenant> tenant = head.apiKey().flatMap(plan::tenant);
+    final Optional<Tenant> tenant = tenants.apply(plan);
     if (!route.get().open() && plan.requiresApiKeys() && tenant.isEmpty()) {
       return denied(HttpResponseStatus.UNAUTHORIZED, "no valid key");
     }
@@ -143,7 +186,7 @@
         && (exiting || !canFinishBeforeExit(route.get(), head, drainingForMs.getAsLong()))) {
       return unavailable(stopDetail(drainingForMs.getAsLong(), drainingForMs.getAsLong()));
     }
-    final OptionalLong quarantined = planner.findQuarantined(head.prompt(), clock.nowMs());
+    final OptionalLong quarantined = quarantine.apply(head.prompt());
     if (quarantined.isPresent()) {
       return new Rejected(
           HttpResponseStatus.SERVICE_UNAVAILABLE,
--- a/src/main/java/org/bulrushweir/gateway/StatusHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/StatusHandler.java
@@ -11,11 +11,16 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.bulrushweir.explain.ExplanationFields;
 
-/** Serves readiness to the load balancer, and metrics. */
+/** Serves readiness to the load balancer, metrics, and explanations beside the metrics. */
 @ChannelHandler.Sharable
 final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -24,16 +29,22 @@
 
   private final GatewayCore core;
   private final GatewayMetrics metrics;
+  private final Optional<RequestExplainer> explainer;
 
   /**
    * Creates the handler.
    *
    * @param core supplies the readiness
    * @param metrics the metrics to serve
+   * @param explainer explains where requests would be sent, empty to serve no explanations
    */
-  StatusHandler(final GatewayCore core, final GatewayMetrics metrics) {
+  StatusHandler(
+      final GatewayCore core,
+      final GatewayMetrics metrics,
+      final Optional<RequestExplainer> explainer) {
     this.core = core;
     this.metrics = metrics;
+    this.explainer = explainer;
   }
 
   @Override
@@ -45,7 +56,7 @@
                   core.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                   Unpooled.EMPTY_BUFFER);
           case METRICS -> metricsResponse();
-          default -> response(HttpResponseStatus.NOT_FOUND, Unpooled.EMPTY_BUFFER);
+          default -> explanation(request);
         };
     if (HttpUtil.isKeepAlive(request)) {
       context.writeAndFlush(response);
@@ -62,6 +73,21 @@
     return response;
   }
 
+  private FullHttpResponse explanation(final FullHttpRequest request) {
+    final QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    if (explainer.isEmpty()
+        || !request.method().equals(HttpMethod.GET)
+        || !query.rawPath().equals(ExplanationFields.PATH)) {
+      return response(HttpResponseStatus.NOT_FOUND, Unpooled.EMPTY_BUFFER);
+    }
+    final RequestExplainer.Answer answer = explainer.get().explain(query);
+    final FullHttpResponse response =
+        response(
+            answer.status(), Unpooled.copiedBuffer(answer.json() + "\n", StandardCharsets.UTF_8));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    return response;
+  }
+
   private static FullHttpResponse response(final HttpResponseStatus status, final ByteBuf body) {
     final FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
--- a/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/bulrushweir/quarantine/PromptQuarantine.java
@@ -130,12 +130,25 @@
    * @return the id of the segment, empty if the request may be sent to engines
    */
   public OptionalLong findQuarantined(final List<PromptSegment> prompt, final long nowMs) {
+    final OptionalLong found = previewQuarantined(prompt);
+    if (found.isPresent()) {
+      quarantined.recordRequest(found.getAsLong(), nowMs);
+    }
+    return found;
+  }
+
+  /**
+   * Returns the same as {@link #findQuarantined} without recording the request.
+   *
+   * @param prompt the segments of the prompt in order
+   * @return the id of the segment, empty if there is none
+   */
+  public OptionalLong previewQuarantined(final List<PromptSegment> prompt) {
     if (quarantined.isEmpty()) {
       return OptionalLong.empty();
     }
     for (final PromptSegment segment : PromptSegment.shared(prompt)) {
       if (quarantined.contains(segment.id())) {
-        quarantined.recordRequest(segment.id(), nowMs);
         return OptionalLong.of(segment.id());
       }
     }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/command/package-info.java
@@ -0,0 +1,2 @@
+/** Tests the commands of the binary. */
+package org.bulrushweir.command;
