--- a/src/main/java/org/bulrushweir/explain/ExplanationText.java
+++ b/src/main/java/org/bulrushweir/explain/ExplanationText.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.stream.Collectors;
 
 /** Formats an explanation for people. */
@@ -124,6 +125,7 @@
           text,
           "unusable   %s",
           unusable.properties().stream()
+              .sorted(Map.Entry.comparingByKey())
               .map(entry -> entry.getValue().asText() + " " + entry.getKey())
               .collect(Collectors.joining(", ")));
     }
--- a/src/main/java/org/bulrushweir/gateway/ExplanationWriter.java
+++ b/src/main/java/org/bulrushweir/gateway/ExplanationWriter.java
@@ -134,7 +134,7 @@
             .addObject()
             .put("endpoint", candidate.endpoint().id().value())
             .put("zone", candidate.endpoint().zone().value())
-            .put("standing", candidate.standing().name().toLowerCase(Locale.ROOT))
+            .put("standing", standing(candidate))
             .put("cost", rounded(terms.total()));
     node.putObject("terms")
         .put("work", rounded(terms.work()))
@@ -160,6 +160,16 @@
     putAge(node, "stated_pace_age_ms", candidate.statedPaceAgeMs());
   }
 
+  private static String standing(final EndpointExplanation candidate) {
+    return switch (candidate.standing()) {
+      case USABLE -> "usable";
+      case EJECTED -> "ejected";
+      case HELD_OFF -> "held_off";
+      // A request that has not been sent yet is kept away from cold endpoints only.
+      case EXCLUDED -> "cold";
+    };
+  }
+
   /** Counts an endpoint that gets no new requests. */
   void unusable(final String reason) {
     final ObjectNode unusable = root.withObject("/selection").withObject("/unusable");
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -275,6 +275,11 @@
     return admission.decide(head, arrivedMs, drainingForMs(), exiting);
   }
 
+  /** Returns whether requests wait for the first reading of the store's tables. */
+  boolean isStarting() {
+    return gate.isClosed();
+  }
+
   /** Tells what would be decided on a request of an organisation. Changes nothing. */
   RequestAdmission.Decision preview(
       final RequestHead head, final Optional<OrganisationId> organisation) {
--- a/src/main/java/org/bulrushweir/gateway/RequestExplainer.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestExplainer.java
@@ -85,11 +85,11 @@
   }
 
   private Answer explain(final RequestHead head, final Optional<OrganisationId> organisation) {
-    if (activePlan.current().isEmpty()) {
+    if (core.isStarting() || activePlan.current().isEmpty()) {
       return error(
           HttpResponseStatus.SERVICE_UNAVAILABLE,
           ExplanationFields.NO_CONFIGURATION,
-          "the gateway has not read a configuration yet");
+          "the gateway has not read the configuration and the endpoints yet");
     }
     if (organisation.isPresent()
         && organisation.flatMap(activePlan.current().get()::tenantNamed).isEmpty()) {
--- a/src/test/java/org/bulrushweir/coldstart/ColdBudgetTest.java
+++ b/src/test/java/org/bulrushweir/coldstart/ColdBudgetTest.java
@@ -160,4 +160,16 @@
     endpoints.observe(endpoint(2, 3_000), 10, 9_000);
     assertEquals(3_000, endpoints.coldForMs(id, 9_000));
   }
+
+  /** Guards against a preview that counts as a request which was kept away. */
+  @Test
+  void previewCountsNothing() {
+    final EndpointRecord cold = cold();
+    send(cold, 100, START_MS);
+    final long keptAway = budget.keptAway();
+    assertEquals(Set.of(cold.id()), budget.previewUnavailable(List.of(cold), UNSHARED, START_MS));
+    assertEquals(keptAway, budget.keptAway());
+    assertEquals(Set.of(cold.id()), budget.unavailable(List.of(cold), UNSHARED, START_MS));
+    assertEquals(keptAway + 1, budget.keptAway());
+  }
 }
--- a/src/test/java/org/bulrushweir/command/ExplainCommandTest.java
+++ b/src/test/java/org/bulrushweir/command/ExplainCommandTest.java
@@ -18,13 +18,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.ZoneName;
 import org.bulrushweir.demo.DemoCall;
 import org.bulrushweir.demo.DemoCaller;
 import org.bulrushweir.demo.DemoFleet;
 import org.bulrushweir.gateway.GatewayService;
+import org.bulrushweir.platform.EvacuationDecoder;
 import org.bulrushweir.standin.PlatformFaults;
 import org.bulrushweir.standin.StandInStream;
+import org.bulrushweir.store.SharedTable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -33,6 +36,10 @@
 class ExplainCommandTest {
 
   private static final long READY_MS = 4_000;
+
+  /** The time within which a row of the store is in force, in milliseconds. */
+  private static final long IN_FORCE_MS = 1_000;
+
   private static final PlatformFaults OUTAGE = new PlatformFaults(true, false, 0, 0, 0, false);
 
   private final DemoFleet fleet =
@@ -145,6 +152,37 @@
     assertTrue(out.toString(StandardCharsets.UTF_8).contains("endpoint   " + engine));
   }
 
+  /** Guards against an explanation that does not say why endpoints get nothing. */
+  @Test
+  void endpointsThatGetNothingAreCountedByReason() throws IOException, InterruptedException {
+    final GatewayService gateway = startGateway("[zones]\nevacuation_ms = 5000\n");
+    fleet.endpoints().get(new EndpointId("engine-2")).moveTo(new ZoneName("zone-2"));
+    fleet.endpoints().get(new EndpointId("engine-4")).moveTo(new ZoneName("zone-3"));
+    fleet.endpoints().get(new EndpointId("engine-5")).register(true);
+    fleet
+        .platform()
+        .put(SharedTable.CONFIGURATION, EvacuationDecoder.key(new ZoneName("zone-2")), "");
+    Thread.sleep(IN_FORCE_MS);
+    caller.send(gateway.callersPort(), DemoCall.draft("before", 3));
+    final DemoCall call = DemoCall.draft("request-7", 3);
+    assertEquals(
+        ExitCode.OK,
+        explain(
+            gateway.metricsPort(),
+            call.host(),
+            "--path",
+            call.path(),
+            "--organisation",
+            "dispatch",
+            "--prompt",
+            call.promptParts()));
+    final String text = out.toString(StandardCharsets.UTF_8);
+    assertTrue(text.contains("unusable   1 draining, 1 evacuated\n"), text);
+    assertTrue(text.contains("queueing is off"), text);
+    assertFalse(text.contains("engine-2 "), text);
+    assertFalse(text.contains("engine-5 "), text);
+  }
+
   @Test
   void requestsThatCannotBeExplainedGetMessagesAndExitCodes() throws InterruptedException {
     final GatewayService gateway = startGateway("");
@@ -179,7 +217,8 @@
         ExitCode.UNAVAILABLE,
         explain(gateway.metricsPort(), DemoCall.ORDER_HOST, "--path", "/look/1"));
     assertEquals(
-        "no_configuration: the gateway has not read a configuration yet\n", err.toString());
+        "no_configuration: the gateway has not read the configuration and the endpoints yet\n",
+        err.toString());
   }
 
   @Test
