Review: early retries keep an execution for failures; small repairs of the selection

An early second attempt used the only retry of routes with max_attempts 2, so that a failure after it could not be mended: it now needs an execution more. Prompt segments without tokens were never evicted from cache models; they end the prompt. Requests without a prompt ranked before long prompts of a more urgent rank at engines. Tests of the touched classes pass; EarlyRetryTest and RequestTranslatorTest have a case more.

--- a/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointSelector.java
@@ -184,9 +184,12 @@
       final RequestProfile request,
       final PlacementSnapshot placement,
       final long nowMs) {
-    if (!settings.statedLoad() || request.prompt().isEmpty()) {
+    if (!settings.statedLoad()) {
       return configured;
     }
+    if (request.prompt().isEmpty()) {
+      return EngineRank.withoutPrompt(configured);
+    }
     // A prefix that another request prefills may not be ready, so that this one prefills it too.
     final long tokens =
         placement.awaitMs() > 0 ? placement.promptTokens() : placement.prefillTokens();
--- a/src/main/java/org/bulrushweir/balancing/EndpointState.java
+++ b/src/main/java/org/bulrushweir/balancing/EndpointState.java
@@ -184,7 +184,7 @@
       recentPeerInFlight = 0;
       for (final TimedLoad load : peerLoads.values()) {
         final double left = 1 - (nowMs - load.receivedAtMs()) / memoryMs;
-        recentPeerInFlight += Math.max(0, left) * load.load().inFlight();
+        recentPeerInFlight += load.isValid(nowMs) ? Math.max(0, left) * load.load().inFlight() : 0;
       }
     }
     return inFlight + recentPeerInFlight;
--- a/src/main/java/org/bulrushweir/balancing/EngineRank.java
+++ b/src/main/java/org/bulrushweir/balancing/EngineRank.java
@@ -32,6 +32,16 @@
     return (int) Math.min(LAST_RANK, first + (isShort(prefillMs, timeLeftMs) ? 0 : 1));
   }
 
+  /**
+   * Returns the rank of a request whose prompt is unknown: that of a long one.
+   *
+   * @param configured the configured rank, 0 is the most urgent
+   * @return the rank from 0 to 9
+   */
+  static int withoutPrompt(final int configured) {
+    return rank(configured, Double.POSITIVE_INFINITY, 0);
+  }
+
   /**
    * Returns whether a prompt is short for its target.
    *
--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -106,10 +106,13 @@
         return parts;
       }
       try {
+        final int tokens = Integer.parseInt(entry.substring(colon + 1).strip());
+        if (tokens < 1) {
+          return parts;
+        }
         parts.add(
             new PromptSegment(
-                Long.parseUnsignedLong(entry.substring(0, colon).strip(), HEX_RADIX),
-                Integer.parseInt(entry.substring(colon + 1).strip())));
+                Long.parseUnsignedLong(entry.substring(0, colon).strip(), HEX_RADIX), tokens));
       } catch (NumberFormatException e) {
         return parts;
       }
--- a/src/main/java/org/bulrushweir/relay/RelayMachine.java
+++ b/src/main/java/org/bulrushweir/relay/RelayMachine.java
@@ -288,8 +288,10 @@
    * Replaces the current attempt by one at another endpoint; returns false if that is not possible.
    */
   private boolean retryElsewhere(final boolean early, final long nowMs) {
-    // The current attempt counts as an execution too.
-    if (!mayRetry() || possibleExecutions + 1 >= limits.maxExecutions()) {
+    // The current attempt counts as an execution too. An early retry also leaves one for a failure:
+    // a late response is worth more than none.
+    final int needed = early ? 2 : 1;
+    if (!mayRetry() || possibleExecutions + needed >= limits.maxExecutions()) {
       return false;
     }
     final AttemptId previous = current;
--- a/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
+++ b/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
@@ -64,6 +64,18 @@
         List.of(new PromptSegment(0x5c1e07a2L, 800), new PromptSegment(-1, 410)), head.prompt());
   }
 
+  /** Guards against segments without tokens, whose entries no cache model would ever evict. */
+  @Test
+  void segmentWithoutTokensEndsThePrompt() {
+    for (final String tokens : List.of("0", "-2000000000")) {
+      final HttpRequest request = request();
+      request.headers().set("X-Prompt-Prefix", "a:800,b:" + tokens + ",c:10");
+      assertEquals(
+          List.of(new PromptSegment(0xa, 800)),
+          RequestTranslator.head(request).orElseThrow().prompt());
+    }
+  }
+
   @Test
   void headsThatCanBeReadInTwoWaysAreRefused() {
     final HttpRequest twoHosts = request();
--- a/src/test/java/org/bulrushweir/relay/EarlyRetryTest.java
+++ b/src/test/java/org/bulrushweir/relay/EarlyRetryTest.java
@@ -77,4 +77,18 @@
     assertEquals(2_000, unsafe.nextTickMs());
     assertEquals(List.of(), unsafe.on(new RelayEvent.Tick(), EARLY_MS));
   }
+
+  /** Guards against an early retry that takes the only one, so that a failure can't be mended. */
+  @Test
+  void lastPossibleExecutionIsKeptForFailures() {
+    final RelayMachine twice =
+        new RelayMachine(
+            new RelayLimits(true, false, 2, 2_000, STALL_MS, STALL_MS, EARLY_MS), endpoints);
+    twice.start(0);
+    twice.on(new RelayEvent.Sent(FIRST), 0);
+    assertEquals(List.of(), twice.on(new RelayEvent.Tick(), EARLY_MS));
+    assertEquals(
+        List.of(new RelayAction.Send(SECOND, E2, false)),
+        twice.on(new RelayEvent.Broken(FIRST, "reset"), EARLY_MS + 1));
+  }
 }
