--- a/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
+++ b/src/main/java/org/bulrushweir/catalog/EvacuatedZones.java
@@ -102,6 +102,7 @@
     final Set<ZoneName> listed = new HashSet<>(zones);
     if (restored) {
       rows.replaceAll((zone, row) -> row.missingSince(nowMs));
+      claimEndsMs.replaceAll((zone, endMs) -> Math.max(endMs, nowMs + RESTORED_ABSENCE_MS));
     } else {
       rows.entrySet().removeIf(row -> row.getValue().present() && !listed.contains(row.getKey()));
     }
--- a/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchQueue.java
@@ -177,7 +177,7 @@
         } else if (!line.getKey().equals(request.organisation())) {
           final double lead = ownPrice + lineWork - price.applyAsDouble(line.getKey());
           final double most = line.getValue().work + arriving.applyAsDouble(line.getKey());
-          ahead += Math.clamp(lead, 0, most);
+          ahead += Math.clamp(lead, 0, Math.max(0, most));
         }
       }
     }
--- a/src/main/java/org/bulrushweir/dispatch/DispatchRequest.java
+++ b/src/main/java/org/bulrushweir/dispatch/DispatchRequest.java
@@ -26,6 +26,9 @@
     long deadlineMs,
     double work) {
 
+  /** The most work that a single request counts for: a million tokens. */
+  private static final double MAX_WORK = 1_000_000;
+
   /**
    * The longest latency objective that counts in the order, in milliseconds: a request with a
    * longer one is overtaken by later ones for no longer than this.
@@ -44,6 +47,11 @@
    */
   private static final double MAX_MARGIN_SHARE = 0.5;
 
+  /** Creates a request whose work is at least zero: callers state the tokens it is made of. */
+  public DispatchRequest {
+    work = Math.clamp(work, 0, MAX_WORK);
+  }
+
   /**
    * Returns the position in the order of its rank and organisation.
    *
--- a/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
+++ b/src/main/java/org/bulrushweir/dispatch/ServiceDispatcher.java
@@ -19,7 +19,7 @@
 public final class ServiceDispatcher {
 
   /** The greatest number of waiting requests, which hold their bodies in memory. */
-  private static final int MAX_WAITING = 1_024;
+  static final int MAX_WAITING = 256;
 
   /**
    * The time for which a less urgent request counts as just sent, in milliseconds: the duration of
--- a/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
+++ b/src/main/java/org/bulrushweir/gateway/PeerReportCodec.java
@@ -23,6 +23,9 @@
 /** Converts peer reports to and from their Protocol Buffers messages. */
 final class PeerReportCodec {
 
+  /** The most requests of a gateway at an endpoint that a report is believed to state. */
+  private static final long MAX_IN_FLIGHT = 100_000;
+
   /** The highest number of held tokens that is plausible; sums of it do not overflow. */
   private static final long MAX_HELD_TOKENS = 1_000_000_000_000L;
 
@@ -130,8 +133,8 @@
       loads.put(
           new EndpointId(load.getEndpoint()),
           new PeerLoad(
-              load.getInFlight(),
-              load.getPendingTokens(),
+              (int) Math.clamp(Integer.toUnsignedLong(load.getInFlight()), 0, MAX_IN_FLIGHT),
+              Math.clamp(load.getPendingTokens(), 0, MAX_HELD_TOKENS),
               Math.clamp(load.getHeldTokens(), 0, MAX_HELD_TOKENS)));
     }
     final List<PeerReport.Placement> placements = new ArrayList<>();
--- a/src/main/java/org/bulrushweir/gateway/TableFollower.java
+++ b/src/main/java/org/bulrushweir/gateway/TableFollower.java
@@ -166,12 +166,16 @@
   private void check() {
     final long nowMs = clock.nowMs();
     schedule.tick(nowMs);
-    if (stopped || poll.isEmpty() || probe.isPresent()) {
+    if (stopped || poll.isEmpty()) {
       return;
     }
     final FeedCall call = poll.get().call;
     final PollAction action = schedule.check(call, nowMs);
-    if (action == PollAction.PROBE) {
+    if (probe.isPresent()
+        && nowMs - probe.get().call.startedMs() < ReadingSchedule.ANSWER_GRACE_MS) {
+      return;
+    }
+    if (action == PollAction.PROBE && probe.isEmpty()) {
       probe = Optional.of(send(new FeedCall(CallKind.PROBE, nowMs, 0)));
     }
     if (action.abandons()) {
--- a/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/EndpointDecoder.java
@@ -15,6 +15,9 @@
   private static final String DRAINING = "draining";
   private static final String COLD_REMAINING = "cold_remaining_ms";
 
+  /** The most slots of an endpoint that are plausible. */
+  private static final int MAX_SLOTS = 100_000;
+
   /** The longest time for which an endpoint counts as cold, in milliseconds: ten minutes. */
   private static final long MAX_COLD_MS = 600_000;
 
@@ -48,6 +51,9 @@
     if (startedAtMs < 0 || startedAtMs > MAX_START_MS) {
       reader.report("born", "is out of range");
     }
+    if (slots < 1 || slots > MAX_SLOTS) {
+      reader.report("slots", "is out of range");
+    }
     if (!state.equals(READY) && !state.equals(DRAINING)) {
       reader.report("state", "is none that is known");
     }
--- a/src/main/java/org/bulrushweir/platform/StoreCalls.java
+++ b/src/main/java/org/bulrushweir/platform/StoreCalls.java
@@ -140,6 +140,10 @@
             new PlatformException("the platform's answer broke off", true, e));
       } catch (PlatformException e) {
         future.completeExceptionally(e);
+      } catch (RuntimeException | OutOfMemoryError e) {
+        // The HTTP client reports no failure after this call: the future would never complete.
+        future.completeExceptionally(
+            new PlatformException("the platform's answer can't be read: " + e, true, e));
       }
     }
   }
--- a/src/main/java/org/bulrushweir/store/ReadingSchedule.java
+++ b/src/main/java/org/bulrushweir/store/ReadingSchedule.java
@@ -25,18 +25,18 @@
    */
   public static final long LONE_WAIT_MS = 1_400;
 
+  /**
+   * The time that a waiting poll has to deliver a change which a peer has read, in milliseconds:
+   * more than the answers to polls of one change differ while the store answers normally.
+   */
+  public static final long ANSWER_GRACE_MS = 250;
+
   /** The longest wait, in milliseconds; the store keeps changes for 20 s at most. */
   static final long MAX_WAIT_MS = 15_000;
 
   /** The time after the last report of a peer for which there are peers, in milliseconds. */
   static final long PEER_ACTIVE_MS = 1_000;
 
-  /**
-   * The time that a waiting poll has to deliver a change which a peer has read, in milliseconds:
-   * more than the answers to polls of one change differ while the store answers normally.
-   */
-  static final long ANSWER_GRACE_MS = 250;
-
   /**
    * The age of the confirmation from which a gateway may ask the store itself, in milliseconds. The
    * first gateway of a fleet to do so notices a change at about this age, the others by its report
--- a/src/test/java/org/bulrushweir/catalog/EvacuatedZonesTest.java
+++ b/src/test/java/org/bulrushweir/catalog/EvacuatedZonesTest.java
@@ -114,6 +114,21 @@
     assertFalse(zones.isEvacuated(Z0));
   }
 
+  /** Guards against a copy of the store without the row that ends what only a peer has reported. */
+  @Test
+  void claimIsKeptAfterRestorationAsLongAsLostRow() {
+    snapshot(0);
+    zones.recordClaim(Z0, 60_000);
+    zones.recordRestoration();
+    snapshot(60_500);
+    confirm(60_600);
+    confirm(61_000);
+    assertTrue(zones.isEvacuated(Z0));
+    confirm(65_600);
+    confirm(65_700);
+    assertFalse(zones.isEvacuated(Z0));
+  }
+
   /** Guards against a gateway that starts on a store that has just lost the row. */
   @Test
   void claimCountsAfterTheStartAsLongAsLostRow() {
--- a/src/test/java/org/bulrushweir/dispatch/ServiceDispatcherTest.java
+++ b/src/test/java/org/bulrushweir/dispatch/ServiceDispatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertAll;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -70,6 +71,25 @@
     return numbers;
   }
 
+  /** Guards against stated token counts that break the decisions on the requests of others. */
+  @Test
+  void absurdWorkOfRequestsIsBounded() {
+    for (final double work : List.of(-2e9, 1e19)) {
+      offer(
+          new DispatchRequest(
+              ++lastNumber,
+              0,
+              Optional.of(new OrganisationId("absurd")),
+              NOW_MS,
+              NOW_MS,
+              TARGET_MS,
+              NOW_MS + LIMIT_MS,
+              work));
+    }
+    final DispatchDecision decision = offer(request("calm", 0));
+    assertFalse(decision instanceof DispatchDecision.Reject, () -> decision.toString());
+  }
+
   /** Guards against an order by arrival alone. */
   @Test
   void ranksThenReturnedThenNewRequestsAreSent() {
@@ -172,7 +192,7 @@
   @Test
   void fullQueueRejectsTheLeastUrgentRequest() {
     final long longMs = 10_000_000;
-    for (int count = 0; count < 1_024; count++) {
+    for (int count = 0; count < ServiceDispatcher.MAX_WAITING; count++) {
       assertInstanceOf(DispatchDecision.Wait.class, offer(request("calm", 5, NOW_MS, longMs)));
     }
     assertAll(
@@ -181,7 +201,7 @@
                 DispatchDecision.Reject.class, offer(request("calm", 5, NOW_MS, longMs))),
         () -> assertInstanceOf(DispatchDecision.Wait.class, offer(request("calm", 0))),
         () -> assertEquals(5, dispatcher.takeDisplaced().orElseThrow().waiting().request().rank()),
-        () -> assertEquals(1_024, dispatcher.waiting()));
+        () -> assertEquals(ServiceDispatcher.MAX_WAITING, dispatcher.waiting()));
   }
 
   /** Guards against state and reports that grow with the number of organisations. */
