The deployed template is valid TOML whatever of it is filled in

Change: numbers that the platform may not state are quoted values; empty texts and placeholders that nobody filled in count as absent. The case placeholdersThatNobodyFillsInCountAsAbsent could not pass before: the template was no TOML.

--- a/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
+++ b/src/main/java/org/bulrushweir/settings/GatewaySettingsLoader.java
@@ -103,7 +103,7 @@
     final HttpUrl platform = platformUrl(store);
     final boolean sharedReading = store.flag("shared_reading", false);
     final boolean firstStart = root.flag("first_start", false);
-    final long graceMs = root.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
+    final long graceMs = graceMs(root);
     final RetryBudgetSettings retryBudget = readRetryBudget(root.table("repeats"));
     final SelectorSettings selector = selector(root.table("selection"));
     final OptionalLong evacuationMs = evacuationMs(root.table("zones"));
@@ -134,29 +134,39 @@
         level);
   }
 
+  /** Reads the grace period, which platforms state in seconds. */
+  private static long graceMs(final TomlReader reader) {
+    final long statedMs = reader.integer("grace_ms", DEFAULT_GRACE_MS, 0, MAXIMUM_GRACE_MS);
+    return (long)
+        (MS_PER_SECOND
+            * reader.templateNumber(
+                "grace_s", statedMs / MS_PER_SECOND, 0, MAXIMUM_GRACE_MS / MS_PER_SECOND));
+  }
+
   private static RetryBudgetSettings readRetryBudget(final TomlReader reader) {
     return new RetryBudgetSettings(
-        reader.number("ratio", DEFAULT_RETRY_RATIO, 0, 1),
-        reader.number("slack", DEFAULT_RETRY_SLACK, 0, MAXIMUM_RETRY_SLACK),
+        reader.templateNumber("ratio", DEFAULT_RETRY_RATIO, 0, 1),
+        reader.templateNumber("slack", DEFAULT_RETRY_SLACK, 0, MAXIMUM_RETRY_SLACK),
         (long)
             (MS_PER_SECOND
-                * reader.number("window_s", DEFAULT_RETRY_WINDOW_S, 1, MAXIMUM_RETRY_WINDOW_S)));
+                * reader.templateNumber(
+                    "window_s", DEFAULT_RETRY_WINDOW_S, 1, MAXIMUM_RETRY_WINDOW_S)));
   }
 
   /** Reads the limit on what cold endpoints get; it is off if neither value is stated. */
   private static Optional<ColdSettings> readCold(final TomlReader reader) {
-    final boolean overshoot = reader.has("overshoot");
-    final boolean slack = reader.has("slack");
+    final boolean overshoot = reader.isFilled("overshoot");
+    final boolean slack = reader.isFilled("slack");
     final ColdSettings settings =
         new ColdSettings(
-            reader.number("overshoot", 1, 1, MAXIMUM_COLD_OVERSHOOT),
-            reader.number("slack", 0, 0, MAXIMUM_COLD_SLACK));
+            reader.templateNumber("overshoot", 1, 1, MAXIMUM_COLD_OVERSHOOT),
+            reader.templateNumber("slack", 0, 0, MAXIMUM_COLD_SLACK));
     return overshoot || slack ? Optional.of(settings) : Optional.empty();
   }
 
   private static SelectorSettings selector(final TomlReader reader) {
     return new SelectorSettings(
-        reader.number("load_multiple", DEFAULT_LOAD_MULTIPLE, 1, MAXIMUM_LOAD_MULTIPLE),
+        reader.templateNumber("load_multiple", DEFAULT_LOAD_MULTIPLE, 1, MAXIMUM_LOAD_MULTIPLE),
         reader.number(
             "prefill_tokens_per_ms",
             DEFAULT_PREFILL_TOKENS_PER_MS,
@@ -166,13 +176,14 @@
   }
 
   private static OptionalLong evacuationMs(final TomlReader reader) {
-    return reader.has(EVACUATION_KEY)
+    return reader.isFilled(EVACUATION_KEY)
         ? OptionalLong.of(
-            reader.integer(
-                EVACUATION_KEY,
-                MINIMUM_EVACUATION_MS,
-                MINIMUM_EVACUATION_MS,
-                MAXIMUM_EVACUATION_MS))
+            (long)
+                reader.templateNumber(
+                    EVACUATION_KEY,
+                    MINIMUM_EVACUATION_MS,
+                    MINIMUM_EVACUATION_MS,
+                    MAXIMUM_EVACUATION_MS))
         : OptionalLong.empty();
   }
 
--- a/src/main/java/org/bulrushweir/toml/TomlReader.java
+++ b/src/main/java/org/bulrushweir/toml/TomlReader.java
@@ -78,6 +78,52 @@
     return table.contains(List.of(key));
   }
 
+  /**
+   * Returns whether a key has a value. A text that a template left empty, or a placeholder that
+   * nobody has filled in, is none.
+   *
+   * @param key the key
+   * @return true if the key has a value
+   */
+  public boolean isFilled(final String key) {
+    return has(key) && !(table.get(List.of(key)) instanceof String text && isUnfilled(text));
+  }
+
+  private static boolean isUnfilled(final String text) {
+    return text.isBlank() || text.startsWith("{{");
+  }
+
+  /**
+   * Reads an optional number that may be quoted, as a template does with a value that may be
+   * missing. A value of another type or out of range is reported.
+   *
+   * @param key the key
+   * @param fallback the number if the key is missing or not filled in
+   * @param minimum the minimum
+   * @param maximum the maximum
+   * @return the number
+   */
+  public double templateNumber(
+      final String key, final double fallback, final double minimum, final double maximum) {
+    if (!(table.get(List.of(key)) instanceof String text)) {
+      return number(key, fallback, minimum, maximum);
+    }
+    known.add(key);
+    if (isUnfilled(text)) {
+      return fallback;
+    }
+    try {
+      final double number = Double.parseDouble(text);
+      if (number >= minimum && number <= maximum) {
+        return number;
+      }
+      reportAt(key, outsideRange(key, number, minimum, maximum));
+    } catch (NumberFormatException e) {
+      reportAt(key, "\"" + qualified(key) + "\" is not a number");
+    }
+    return fallback;
+  }
+
   /**
    * Reads a required string. A missing key or a value of another type is reported.
    *
