Show that pieces are missing in streams that clients resume

Event ids above 2^53 are rounded when a client's Last-Event-Id is read, and the events up to the rounded id are dropped.

--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -22,6 +23,7 @@
    * @param status the status, 0 if none arrived
    * @param complete whether the answer is whole
    * @param closes whether the connection ends with it
+   * @param body the body, or what arrived of it
    */
   record Answer(
       String id,
@@ -60,6 +62,7 @@
       final String headers,
       final byte[] content) {
     final long startNanos = System.nanoTime();
+    final ByteArrayOutputStream body = new ByteArrayOutputStream();
     int status = 0;
     try {
       socket.setSoTimeout((int) deadlineMs + 5_000);
@@ -75,15 +78,18 @@
         throw new IOException("the connection was closed without an answer");
       }
       status = answer.status();
-      final String body =
-          new String(Http.readBody(in, answer, true), StandardCharsets.ISO_8859_1);
+      Http.readBody(in, answer, true, body);
       final boolean closes = answer.header("connection").equalsIgnoreCase("close");
-      return new Answer(id, status, true, closes, body, tookMs(startNanos), "");
+      return new Answer(id, status, true, closes, text(body), tookMs(startNanos), "");
     } catch (IOException e) {
-      return new Answer(id, status, false, true, "", tookMs(startNanos), e.getMessage());
+      return new Answer(id, status, false, true, text(body), tookMs(startNanos), e.getMessage());
     }
   }
 
+  private static String text(final ByteArrayOutputStream body) {
+    return body.toString(StandardCharsets.ISO_8859_1);
+  }
+
   private static long tookMs(final long startNanos) {
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -70,40 +70,47 @@
     return line.toString(StandardCharsets.ISO_8859_1);
   }
 
-  /** Reads a body that has a length, is chunked, or ends with its connection. */
-  static byte[] readBody(final InputStream in, final Head head, final boolean response)
+  /**
+   * Reads a body that has a length, is chunked, or ends with its connection.
+   *
+   * @param body receives the bytes, also those before a failure
+   */
+  static void readBody(
+      final InputStream in,
+      final Head head,
+      final boolean response,
+      final ByteArrayOutputStream body)
       throws IOException {
     if (head.header("transfer-encoding").equalsIgnoreCase("chunked")) {
-      return readChunks(in);
+      readChunks(in, body);
+    } else if (head.headers().containsKey("content-length")) {
+      readPart(in, Integer.parseInt(head.header("content-length")), body);
+    } else if (response) {
+      body.writeBytes(in.readAllBytes());
     }
-    if (head.headers().containsKey("content-length")) {
-      final int length = Integer.parseInt(head.header("content-length"));
-      final byte[] body = in.readNBytes(length);
-      if (body.length < length) {
-        throw new IOException("the connection ended inside a body");
-      }
-      return body;
-    }
-    return response ? in.readAllBytes() : new byte[0];
   }
 
-  private static byte[] readChunks(final InputStream in) throws IOException {
-    final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    while (true) {
+  private static void readChunks(final InputStream in, final ByteArrayOutputStream body)
+      throws IOException {
+    int length;
+    do {
       final String size = readLine(in);
       if (size == null) {
         throw new IOException("the connection ended between two chunks");
       }
-      final int length = Integer.parseInt(size.split(";")[0].strip(), 16);
-      final byte[] chunk = in.readNBytes(length);
-      if (chunk.length < length) {
-        throw new IOException("the connection ended inside a chunk");
-      }
-      body.writeBytes(chunk);
+      length = Integer.parseInt(size.split(";")[0].strip(), 16);
+      readPart(in, length, body);
       readLine(in);
-      if (length == 0) {
-        return body.toByteArray();
-      }
+    } while (length > 0);
+  }
+
+  private static void readPart(
+      final InputStream in, final int length, final ByteArrayOutputStream body)
+      throws IOException {
+    final byte[] part = in.readNBytes(length);
+    body.writeBytes(part);
+    if (part.length < length) {
+      throw new IOException("the connection ended inside a body");
     }
   }
 }
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -85,8 +86,11 @@
       socket.setTcpNoDelay(true);
       final InputStream in = new BufferedInputStream(socket.getInputStream(), 65_536);
       for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
-        final byte[] body = Http.readBody(in, head, false);
-        answer(new Answer(socket.getOutputStream(), head.header("x-request-id"), load()), head, body);
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Http.readBody(in, head, false, body);
+        final Answer answer =
+            new Answer(socket.getOutputStream(), head.header("x-request-id"), load());
+        answer(answer, head, body.toByteArray());
       }
     } catch (IOException | InterruptedException e) {
       // The caller has closed the connection.
@@ -176,7 +180,12 @@
 
     /** Writes an event of a stream. */
     void event(final int number) throws IOException {
-      final String event = "id: " + number + "\ndata: piece " + number + "\n\n";
+      event(number, number);
+    }
+
+    /** Writes an event of a stream whose id is not its number. */
+    void event(final long eventId, final int number) throws IOException {
+      final String event = "id: " + eventId + "\ndata: piece " + number + "\n\n";
       write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
     }
 
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -97,12 +98,12 @@
     try (socket) {
       final InputStream in = new BufferedInputStream(socket.getInputStream());
       for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
-        final String body =
-            new String(Http.readBody(in, head, false), StandardCharsets.UTF_8);
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Http.readBody(in, head, false, body);
         if (mode == Mode.SILENT) {
           Thread.sleep(600_000);
         }
-        answer(socket.getOutputStream(), head, body);
+        answer(socket.getOutputStream(), head, body.toString(StandardCharsets.UTF_8));
       }
     } catch (IOException | InterruptedException e) {
       // The caller has closed the connection.
