Make the cases of the review independent of addresses and of the machine's speed

Gateways get loopback addresses of their own. In case 8 a reset of a connection that had just ended made the script exit with 2.

--- a/review/standins-2/Config.java
+++ b/review/standins-2/Config.java
@@ -5,7 +5,7 @@
   static final String MODEL = "modelo";
   static final String BOOKINGS = "pedidos";
   static final int STREAM_TIMEOUT_MS = 8_000;
-  static final int CALL_TIMEOUT_MS = 2_500;
+  static final int CALL_TIMEOUT_MS = 1_200;
 
   private Config() {}
 
--- a/review/standins-2/Gateway.java
+++ b/review/standins-2/Gateway.java
@@ -1,17 +1,15 @@
-import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,6 +20,8 @@
   private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
   private static final Pattern PLACE = Pattern.compile("\\{\\{([^}]*)}}");
   private static final long START_MS = 20_000;
+  private static final int METRICS_PORT = 9464;
+  private static final int HOST_ATTEMPTS = 20;
 
   private final Record record;
   private final String name;
@@ -36,13 +36,12 @@
       final Record record,
       final Path folder,
       final String name,
-      final String host,
       final int storePort)
       throws IOException {
     this.record = record;
     this.folder = folder;
     this.name = name;
-    this.host = host;
+    this.host = freeHost();
     this.callersPort = freePort(host);
     this.statusPort = freePort(host);
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
@@ -54,7 +53,7 @@
             Map.entry("listen.front", host + ":" + callersPort),
             Map.entry("listen.ready_address", host + ":" + statusPort),
             Map.entry("ip", host),
-            Map.entry("internal_ports.0", "7340"),
+            Map.entry("internal_ports.0", Integer.toString(freePort(host))),
             Map.entry("platform.address", "127.0.0.1:" + storePort),
             Map.entry("bounds.retry_budget_ratio", "0.2"),
             Map.entry("bounds.budget_slack", "54"),
@@ -62,6 +61,22 @@
             Map.entry("bounds.cap_x", "2"));
   }
 
+  /** Returns a loopback address of its own, as the template fixes the port for metrics. */
+  private static String freeHost() throws IOException {
+    for (int attempt = 0; attempt < HOST_ATTEMPTS; attempt++) {
+      final ThreadLocalRandom random = ThreadLocalRandom.current();
+      final String candidate =
+          "127." + random.nextInt(1, 255) + "." + random.nextInt(255) + "." + random.nextInt(2, 255);
+      try (ServerSocket socket =
+          new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(candidate))) {
+        return socket.getInetAddress().getHostAddress();
+      } catch (IOException e) {
+        // Another program uses the port there.
+      }
+    }
+    throw new IOException("no loopback address with a free port " + METRICS_PORT);
+  }
+
   private static int freePort(final String host) throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
       return socket.getLocalPort();
@@ -144,10 +159,6 @@
     }
   }
 
-  boolean isAlive() {
-    return process.isAlive();
-  }
-
   /** Sends a signal to the process. */
   void signal(final String signal) throws IOException, InterruptedException {
     record.add("gateway %s: SIG%s", name, signal);
@@ -159,16 +170,6 @@
     return process.waitFor(ms, TimeUnit.MILLISECONDS);
   }
 
-  /** Returns the lines of the process's log that contain a text. */
-  List<String> logLines(final String text) throws IOException {
-    try (BufferedReader reader =
-        new BufferedReader(
-            new InputStreamReader(
-                Files.newInputStream(folder.resolve(name + ".log")), StandardCharsets.UTF_8))) {
-      return reader.lines().filter(line -> line.contains(text)).toList();
-    }
-  }
-
   @Override
   public void close() {
     if (process == null || !process.isAlive()) {
--- a/review/standins-2/LimitsAfterRestart.java
+++ b/review/standins-2/LimitsAfterRestart.java
@@ -11,15 +11,18 @@
  */
 final class LimitsAfterRestart {
 
-  private static final int CLIENTS = 64;
+  private static final int CLIENTS = 96;
   private static final int MAX_HEADER_BYTES = 65_536;
   private static final int MAX_BODY_BYTES = 8_388_608;
 
-  /** The requests of a chat, and the parts by which its prompt grows with each: up to 22 KB. */
+  /** The requests of a chat, and the parts by which its prompt grows with each: up to 20 KB. */
   private static final int TURNS = 20;
-  private static final int PARTS_A_TURN = 100;
+  private static final int PARTS_A_TURN = 90;
 
-  private static final long PAUSE_MS = 400;
+  private static final long PAUSE_MS = 700;
+
+  /** After this time a client comes back that got no answer or was not let in. */
+  private static final long RETURN_MS = 20;
   private static final long CONTACT_MS = 3_000;
   private static final long JUDGED_MS = 12_000;
   private static final long RESTART_DELAY_MS = 200;
@@ -32,10 +35,10 @@
 
   private static boolean isBroken(final Record record, final Path folder, final boolean trouble)
       throws IOException, InterruptedException {
-    try (Store store = new Store(record);
+    try (Store store = new Store();
         Runner runner = new Runner(record, "i-1", 128, (head, body, answer) -> stream(answer));
-        Gateway first = new Gateway(record, folder, "front-1", "127.0.0.2", store.port());
-        Gateway second = new Gateway(record, folder, "front-2", "127.0.0.3", store.port())) {
+        Gateway first = new Gateway(record, folder, "front-1", store.port());
+        Gateway second = new Gateway(record, folder, "front-2", store.port())) {
       store.put("op", "config", Config.text(7, MAX_HEADER_BYTES, MAX_BODY_BYTES));
       store.put("servers", runner.id(), runner.entry(Config.MODEL, 1_700_000_000_000L));
       first.start(true);
@@ -95,6 +98,7 @@
       final AtomicInteger denied) {
     Client client = null;
     int turn = number % TURNS;
+    pause(number * PAUSE_MS / CLIENTS);
     while (record.nowMs() < endMs.get()) {
       try {
         if (client == null) {
@@ -122,20 +126,17 @@
           client.close();
           client = null;
         }
-        Thread.sleep(PAUSE_MS);
+        pause(answer.complete() ? PAUSE_MS : RETURN_MS);
       } catch (IOException e) {
         client = null;
-        pause();
-      } catch (InterruptedException e) {
-        return;
+        pause(RETURN_MS);
       }
     }
   }
 
-  /** A client that is not let in comes back soon. */
-  private static void pause() {
+  private static void pause(final long ms) {
     try {
-      Thread.sleep(100);
+      Thread.sleep(ms);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -31,7 +31,7 @@
   }
 
   /** Resets every other connection. */
-  void resetHalf() throws IOException {
+  void resetHalf() {
     boolean resets = false;
     for (final Connection connection : connections) {
       resets = !resets;
@@ -42,10 +42,12 @@
     }
   }
 
-  private static void reset(final Socket socket) throws IOException {
-    if (!socket.isClosed()) {
+  private static void reset(final Socket socket) {
+    try {
       socket.setSoLinger(true, 0);
       socket.close();
+    } catch (IOException e) {
+      // The connection has ended by itself, or with the other one.
     }
   }
 
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -32,7 +31,6 @@
   private final Work work;
   private final Semaphore free;
   private final AtomicInteger admitted = new AtomicInteger();
-  private final ConcurrentHashMap<String, Integer> runs = new ConcurrentHashMap<>();
 
   Runner(final Record record, final String id, final int slots, final Work work)
       throws IOException {
@@ -65,11 +63,6 @@
     return admitted.get();
   }
 
-  /** Returns how often a request was run here. */
-  int runs(final String request) {
-    return runs.getOrDefault(request, 0);
-  }
-
   private void accept() {
     while (!server.isClosed()) {
       try {
@@ -119,7 +112,6 @@
 
   private void run(final Answer answer, final Http.Head head, final byte[] body)
       throws IOException, InterruptedException {
-    runs.merge(answer.request, 1, Integer::sum);
     record.add("runner %s: runs %s", id, answer.request);
     try {
       work.run(head, body, answer);
--- a/review/standins-2/SilentStream.java
+++ b/review/standins-2/SilentStream.java
@@ -35,9 +35,9 @@
   private static boolean isBroken(final Record record, final Path folder, final boolean trouble)
       throws IOException, InterruptedException {
     final List<Runner> runners = new ArrayList<>();
-    try (Store store = new Store(record);
-        Gateway first = new Gateway(record, folder, "front-1", "127.0.0.2", store.port());
-        Gateway second = new Gateway(record, folder, "front-2", "127.0.0.3", store.port())) {
+    try (Store store = new Store();
+        Gateway first = new Gateway(record, folder, "front-1", store.port());
+        Gateway second = new Gateway(record, folder, "front-2", store.port())) {
       store.put("op", "config", Config.text(7, 16_384, 4_194_304));
       for (int number = 0; number < RUNNERS; number++) {
         final boolean preempts = trouble && number == 0;
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -20,31 +20,18 @@
 /** A stand-in for the platform's metadata store: rows in tables, and the feed of their changes. */
 final class Store implements AutoCloseable {
 
-  /** What the store does with calls. */
-  enum Mode {
-    /** It answers. */
-    SOUND,
-    /** It answers 503, which means that nothing was done. */
-    BUSY,
-    /** It accepts connections and answers nothing. */
-    SILENT
-  }
-
   private static final Pattern ROW =
       Pattern.compile("\"table\":\"([^\"]*)\"[^}]*?\"key\":\"([^\"]*)\"(?:,\"value\":\"([^\"]*)\")?");
 
   private final ServerSocket server;
-  private final Record record;
   private final long startNanos = System.nanoTime();
   private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
   private final List<Row> history = new ArrayList<>();
   private long version;
-  private volatile Mode mode = Mode.SOUND;
 
   private record Row(String table, String key, String value, long version) {}
 
-  Store(final Record record) throws IOException {
-    this.record = record;
+  Store() throws IOException {
     this.server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     Threads.start("store", this::accept);
   }
@@ -53,14 +40,6 @@
     return server.getLocalPort();
   }
 
-  void mode(final Mode next) {
-    record.add("store: %s", next);
-    synchronized (this) {
-      mode = next;
-      notifyAll();
-    }
-  }
-
   /** Writes a row as the operator or a runner does; a null value removes it. */
   synchronized long put(final String table, final String key, final String text) {
     final String value =
@@ -100,9 +79,6 @@
       for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         Http.readBody(in, head, false, body);
-        if (mode == Mode.SILENT) {
-          Thread.sleep(600_000);
-        }
         answer(socket.getOutputStream(), head, body.toString(StandardCharsets.UTF_8));
       }
     } catch (IOException | InterruptedException e) {
@@ -112,10 +88,6 @@
 
   private void answer(final OutputStream out, final Http.Head head, final String body)
       throws IOException, InterruptedException {
-    if (mode == Mode.BUSY) {
-      write(out, 503, "{}");
-      return;
-    }
     final String path = head.target().split("\\?")[0];
     final Map<String, String> query = query(head.target());
     switch (path) {
@@ -156,9 +128,6 @@
     List<Row> rows = changes(query.get("table"), after);
     while (rows.isEmpty() && nowMs() < endMs) {
       wait(Math.max(1, endMs - nowMs()));
-      if (mode == Mode.SILENT) {
-        wait(600_000);
-      }
       rows = changes(query.get("table"), after);
     }
     return page(rows);
