Event ids are kept as they are written and compared at any length

Cause: RequestTranslator read Last-Event-Id as a floating-point number, and EventStreamFramer dropped all events up to the rounded id. Ids were numbers of a fixed size at all, although nothing bounds them: above 2^63, with leading zeros, below zero or with other characters a resumption by the gateway named no event, or another one than the engine's.

Change: EventId keeps the text. Whole numbers are compared digit by digit, other ids are equal or not, and the gateway resumes with the bytes that the engine has written.

--- a/src/main/java/org/bulrushweir/gateway/Exchange.java
+++ b/src/main/java/org/bulrushweir/gateway/Exchange.java
@@ -11,7 +11,6 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +21,7 @@
 import org.bulrushweir.relay.AttemptHead;
 import org.bulrushweir.relay.AttemptId;
 import org.bulrushweir.relay.EndpointSource;
+import org.bulrushweir.relay.EventId;
 import org.bulrushweir.relay.EventStreamFramer;
 import org.bulrushweir.relay.Refusal;
 import org.bulrushweir.relay.RelayAction;
@@ -71,7 +71,7 @@
     this.request = request;
     this.body = body;
     this.machine = new RelayMachine(routed.limits(), this);
-    this.framer = new EventStreamFramer(routed.head().resumeAfter().orElse(-1));
+    this.framer = new EventStreamFramer(routed.head().resumeAfter());
   }
 
   void start() {
@@ -194,10 +194,7 @@
   @Override
   public void writeRequest(final ExchangeAttempt attempt, final EndpointConnection connection) {
     final long remainingMs = routed.limits().deadlineMs() - core.nowMs();
-    final OptionalLong resumeAfter =
-        resuming && framer.lastEventId() >= 0
-            ? OptionalLong.of(framer.lastEventId())
-            : OptionalLong.empty();
+    final Optional<EventId> resumeAfter = resuming ? framer.lastEventId() : Optional.empty();
     final AttemptHead head =
         new AttemptHead(
             attempt.endpoint(),
--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -16,6 +16,7 @@
 import java.util.OptionalLong;
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.relay.AttemptHead;
+import org.bulrushweir.relay.EventId;
 import org.bulrushweir.relay.RequestHead;
 
 /** Translates callers' requests into the product's types, and these into requests to endpoints. */
@@ -55,7 +56,7 @@
             key(headers.get(HttpHeaderNames.AUTHORIZATION)),
             prompt(headers.get(HeaderNames.PROMPT_PARTS)),
             outputTokens(headers.get(HeaderNames.TOKENS)),
-            number(headers.get(HeaderNames.LAST_EVENT)),
+            Optional.ofNullable(headers.get(HeaderNames.LAST_EVENT)).flatMap(EventId::parse),
             number(headers.get(HeaderNames.LENGTH_HINT))));
   }
 
@@ -149,9 +150,7 @@
     attempt
         .organisation()
         .ifPresent(organisation -> headers.set(HeaderNames.ORGANISATION, organisation.value()));
-    attempt
-        .resumeAfter()
-        .ifPresent(event -> headers.set(HeaderNames.LAST_EVENT, Long.toString(event)));
+    attempt.resumeAfter().ifPresent(event -> headers.set(HeaderNames.LAST_EVENT, event.text()));
     attempt
         .cacheSource()
         .ifPresent(
--- a/src/main/java/org/bulrushweir/relay/AttemptHead.java
+++ b/src/main/java/org/bulrushweir/relay/AttemptHead.java
@@ -1,7 +1,6 @@
 package org.bulrushweir.relay;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.catalog.EndpointRecord;
@@ -23,5 +22,5 @@
     Optional<OrganisationId> organisation,
     long timeLeftMs,
     int priority,
-    OptionalLong resumeAfter,
+    Optional<EventId> resumeAfter,
     Optional<EndpointRecord> cacheSource) {}
--- a/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
+++ b/src/main/java/org/bulrushweir/relay/EventStreamFramer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 
 /**
  * Splits the bytes of a resumable event stream into complete server-sent events. If a stream breaks
@@ -19,15 +20,14 @@
   private final EventBoundaryScanner scanner = new EventBoundaryScanner();
   private byte[] buffer = new byte[1_024];
   private int length;
-  private long lastEventId;
+  private Optional<EventId> lastEventId;
 
   /**
    * Creates a framer with an empty buffer.
    *
-   * @param lastEventId the id of the last event that the caller already has, negative if there is
-   *     none
+   * @param lastEventId the id of the last event that the caller already has, empty if there is none
    */
-  public EventStreamFramer(final long lastEventId) {
+  public EventStreamFramer(final Optional<EventId> lastEventId) {
     this.lastEventId = lastEventId;
   }
 
@@ -70,25 +70,22 @@
   }
 
   private boolean isNew(final int start, final int end) {
-    final String event = new String(buffer, start, end - start, StandardCharsets.UTF_8);
+    // One character a byte, so that an id is sent on with the bytes that it has.
+    final String event = new String(buffer, start, end - start, StandardCharsets.ISO_8859_1);
     for (final String line : event.split("\r?\n")) {
       if (line.startsWith(ID_FIELD)) {
-        return advanceTo(line.substring(ID_FIELD.length()).strip());
+        return EventId.parse(line.substring(ID_FIELD.length())).map(this::advanceTo).orElse(true);
       }
     }
     return true;
   }
 
-  private boolean advanceTo(final String text) {
-    try {
-      final long id = Long.parseLong(text);
-      final boolean newer = id > lastEventId;
-      lastEventId = Math.max(lastEventId, id);
-      return newer;
-    } catch (NumberFormatException e) {
-      // An id that is not a number cannot be compared; the event is forwarded.
-      return true;
+  private boolean advanceTo(final EventId id) {
+    if (lastEventId.isPresent() && !id.mayFollow(lastEventId.get())) {
+      return false;
     }
+    lastEventId = Optional.of(id);
+    return true;
   }
 
   /**
@@ -131,9 +128,9 @@
   /**
    * Returns the id of the last event that the caller has.
    *
-   * @return the id, negative if the caller has none
+   * @return the id, empty if the caller has none
    */
-  public long lastEventId() {
+  public Optional<EventId> lastEventId() {
     return lastEventId;
   }
 }
--- a/src/main/java/org/bulrushweir/relay/RequestHead.java
+++ b/src/main/java/org/bulrushweir/relay/RequestHead.java
@@ -29,7 +29,7 @@
     Optional<String> apiKey,
     List<PromptSegment> prompt,
     OptionalLong outputTokens,
-    OptionalLong resumeAfter,
+    Optional<EventId> resumeAfter,
     OptionalLong expectedTokens) {
 
   /** The share by which an output is assumed to exceed what the caller expects. */
@@ -63,7 +63,7 @@
       final Optional<String> apiKey,
       final List<PromptSegment> prompt,
       final OptionalLong outputTokens,
-      final OptionalLong resumeAfter) {
+      final Optional<EventId> resumeAfter) {
     this(
         id, host, path, timeoutMs, apiKey, prompt, outputTokens, resumeAfter, OptionalLong.empty());
   }
--- a/src/test/java/org/bulrushweir/gateway/AttemptObserverTest.java
+++ b/src/test/java/org/bulrushweir/gateway/AttemptObserverTest.java
@@ -63,7 +63,7 @@
             Optional.empty(),
             List.of(),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     final RelayLimits limits = new RelayLimits(true, false, 2, 2_000, 570, 570);
     return new RoutedRequest(head, route, SERVICE, Optional.empty(), 0, limits, 0, 1);
   }
--- a/src/test/java/org/bulrushweir/gateway/EarlyRetryLimitTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EarlyRetryLimitTest.java
@@ -62,7 +62,7 @@
             Optional.of(DemoCall.KEY),
             List.of(),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     return assertInstanceOf(
             RequestAdmission.Admitted.class,
             new RequestAdmission(() -> NOW_MS, plan, planner, new DrainPolicy(8_000))
--- a/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EvacuatedAttemptTest.java
@@ -146,7 +146,7 @@
                 GatewayCoreFixture.requestLog(log)),
             routedRequest(),
             caller,
-            new EventStreamFramer(-1),
+            new EventStreamFramer(Optional.empty()),
             owner,
             new AttemptId(1),
             ENGINE.id());
@@ -179,7 +179,7 @@
             Optional.empty(),
             prompt(3),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     final RelayLimits limits = new RelayLimits(false, false, 1, 4_000, 1_600, 1_000);
     return new RoutedRequest(head, route, ASSISTANT, Optional.empty(), 0, limits, 0, 1);
   }
--- a/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
+++ b/src/test/java/org/bulrushweir/gateway/ExchangeAttemptTest.java
@@ -61,7 +61,7 @@
             Optional.empty(),
             List.of(),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     final RelayLimits limits = new RelayLimits(false, false, 1, 1_000, 400, 400);
     return new RoutedRequest(head, route, ORDERS, Optional.empty(), 0, limits, 0, 1);
   }
@@ -98,7 +98,7 @@
             GatewayCoreFixture.create(directory, tracker),
             routedRequest(),
             null,
-            new EventStreamFramer(-1),
+            new EventStreamFramer(Optional.empty()),
             owner(),
             new AttemptId(1),
             ENDPOINT);
@@ -116,7 +116,7 @@
             GatewayCoreFixture.create(directory, tracker),
             routedRequest(),
             null,
-            new EventStreamFramer(-1),
+            new EventStreamFramer(Optional.empty()),
             owner(),
             new AttemptId(1),
             ENDPOINT);
--- a/src/test/java/org/bulrushweir/gateway/RequestAdmissionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RequestAdmissionTest.java
@@ -53,7 +53,7 @@
         key,
         List.of(),
         OptionalLong.empty(),
-        OptionalLong.empty());
+        Optional.empty());
   }
 
   private int rejectedWith(final RequestHead head) {
--- a/src/test/java/org/bulrushweir/gateway/RequestExplainerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/RequestExplainerTest.java
@@ -107,7 +107,7 @@
             Optional.of(DemoCall.KEY),
             List.of(new PromptSegment(1, 2_000), new PromptSegment(2, 300)),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     final RoutedRequest routed =
         ((RequestAdmission.Admitted)
                 core.preview(head, Optional.of(new OrganisationId("dispatch"))))
--- a/src/test/java/org/bulrushweir/gateway/ResponseEndTrackerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/ResponseEndTrackerTest.java
@@ -29,7 +29,7 @@
   private static final String EVENT = "id: 0\ndata: a\n\n";
   private static final String PART_OF_EVENT = "id: 1\nda";
 
-  private final EventStreamFramer framer = new EventStreamFramer(-1);
+  private final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
 
   private ResponseEndTracker tracker(final RequestKind kind, final boolean resumable) {
     final Route route =
@@ -55,7 +55,7 @@
             Optional.empty(),
             List.of(),
             OptionalLong.empty(),
-            OptionalLong.empty());
+            Optional.empty());
     final RelayLimits limits = new RelayLimits(resumable, resumable, 1, 1_000, 400, 400);
     return new ResponseEndTracker(
         new RoutedRequest(head, route, SERVICE, Optional.empty(), 0, limits, 0, 1), framer);
--- a/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
+++ b/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
@@ -17,6 +17,7 @@
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.relay.AttemptHead;
+import org.bulrushweir.relay.EventId;
 import org.bulrushweir.relay.RequestHead;
 import org.junit.jupiter.api.Test;
 
@@ -48,7 +49,7 @@
             Optional.of(new OrganisationId("dispatch")),
             1_200,
             12,
-            OptionalLong.of(4),
+            EventId.parse("4"),
             Optional.empty()));
   }
 
--- a/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
+++ b/src/test/java/org/bulrushweir/relay/EventStreamFramerTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -27,18 +28,18 @@
 
   @Test
   void incompleteEventIsBuffered() {
-    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
     assertEquals(event(0), feed(framer, event(0) + "id: 1\nda"));
     assertFalse(framer.isAtEventBoundary());
     assertEquals(event(1), feed(framer, "ta: part 1\n\n"));
     assertTrue(framer.isAtEventBoundary());
-    assertEquals(1, framer.lastEventId());
+    assertEquals(EventId.parse("1"), framer.lastEventId());
   }
 
   /** Guards against a process that stands still while a long event arrives byte by byte. */
   @Test
   void longEventThatArrivesByteByByteIsCheap() {
-    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
     final byte[] part = {'a'};
     assertTimeoutPreemptively(
         Duration.ofSeconds(1),
@@ -51,7 +52,7 @@
 
   @Test
   void resumedStreamStartsWithTheInterruptedEvent() {
-    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
     assertEquals(event(0), feed(framer, event(0) + "id: 1\nda"));
     framer.startResponse();
     assertEquals(event(1) + event(2), feed(framer, event(0) + event(1) + event(2)));
@@ -59,13 +60,13 @@
 
   @Test
   void eventsThatTheCallerHasAreDropped() {
-    final EventStreamFramer framer = new EventStreamFramer(4);
+    final EventStreamFramer framer = new EventStreamFramer(EventId.parse("4"));
     assertEquals(event(5), feed(framer, event(4) + event(5)));
   }
 
   @Test
   void eventsWithoutIdsAndWithOtherLineEndsAreForwarded() {
-    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
     assertEquals("data: a\r\n\r\n: b\n\n", feed(framer, "data: a\r\n\r\n: b\n\n"));
   }
 
@@ -76,7 +77,7 @@
     for (int id = 0; id < 20; id++) {
       text.append(event(id));
     }
-    final EventStreamFramer framer = new EventStreamFramer(-1);
+    final EventStreamFramer framer = new EventStreamFramer(Optional.empty());
     final StringBuilder forwarded = new StringBuilder();
     int offset = 0;
     while (offset < text.length()) {
