Limits of the configuration beyond 32 bits stay large

Callers would get 413 or 431 for all requests, and services no connections and no attempts, under a configuration whose limits are 2^31 or more.

Change: JsonReader.saturatedInt takes the end of the range; after a finding the usual limit holds. A body reserves no more memory than the usual limit by its stated length alone, as limits may now exceed the process's memory.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -43,6 +43,9 @@
   /** The time within which a caller that opens a connection sends its request, in milliseconds. */
   private static final long FIRST_REQUEST_MS = 400;
 
+  /** The memory that is reserved for a body by its stated length alone, in bytes. */
+  private static final long MAX_RESERVED_BODY_BYTES = CallerLimits.DEFAULT.maxBodyBytes();
+
   private final CallerPipeline<Received> pipeline = new CallerPipeline<>();
   private final GatewayCore core;
   private final CallerLimits limits;
@@ -161,7 +164,7 @@
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
     }
-    body = length > 0 ? Unpooled.buffer((int) length) : Unpooled.buffer(0);
+    body = Unpooled.buffer((int) Math.min(length, MAX_RESERVED_BODY_BYTES));
   }
 
   private void handleContent(final HttpContent content) {
--- a/src/main/java/org/bulrushweir/platform/JsonReader.java
+++ b/src/main/java/org/bulrushweir/platform/JsonReader.java
@@ -156,6 +156,38 @@
     return (int) value;
   }
 
+  /**
+   * Reads a whole number for which all values beyond 32 bits mean the same as the nearest one that
+   * fits, such as a limit.
+   *
+   * @param field the field
+   * @param fallback the number if the field is missing, or after a finding
+   * @return the number, at the end of the range if it lies beyond
+   */
+  int saturatedInt(final String field, final int fallback) {
+    if (!has(field)) {
+      return fallback;
+    }
+    return requiredSaturatedInt(field, fallback);
+  }
+
+  /**
+   * Reads a whole number like {@link #saturatedInt}; a missing one is a finding.
+   *
+   * @param field the field
+   * @param fallback the number after a finding
+   * @return the number, at the end of the range if it lies beyond
+   */
+  int requiredSaturatedInt(final String field, final int fallback) {
+    final JsonNode value = node.path(field);
+    if (!value.isNumber()) {
+      report(field, "is not a number");
+      return fallback;
+    }
+    // A double is exact for all values within the range and lies beyond it for all others.
+    return Math.clamp((long) value.doubleValue(), Integer.MIN_VALUE, Integer.MAX_VALUE);
+  }
+
   /**
    * Reads a number that must be written without a fraction or exponent.
    *
--- a/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
+++ b/src/main/java/org/bulrushweir/platform/RoutingPlanDecoder.java
@@ -29,10 +29,10 @@
   private static final String TENANTS = "tenants";
 
   /** The time-out of a route that names none, in milliseconds: a minute, as is usual for HTTP. */
-  private static final long DEFAULT_TIMEOUT_MS = 60_000;
+  private static final int DEFAULT_TIMEOUT_MS = 60_000;
 
   /** The target of a route that names none, in milliseconds. */
-  private static final long DEFAULT_TARGET_MS = 1_000;
+  private static final int DEFAULT_TARGET_MS = 1_000;
 
   /**
    * Decodes a configuration.
@@ -85,11 +85,11 @@
             host.toLowerCase(Locale.ROOT),
             prefix,
             kind.get(),
-            reader.integer("timeout_ms", DEFAULT_TIMEOUT_MS),
-            reader.integer("target_latency_ms", DEFAULT_TARGET_MS),
-            (int) reader.integer("priority", 0),
+            reader.saturatedInt("timeout_ms", DEFAULT_TIMEOUT_MS),
+            reader.saturatedInt("target_latency_ms", DEFAULT_TARGET_MS),
+            reader.saturatedInt("priority", 0),
             services,
-            (int) Math.max(1, reader.integer("max_attempts", 1)),
+            Math.max(1, reader.saturatedInt("max_attempts", 1)),
             reader.flag("public"),
             reader.flag("sticky"),
             reader.flag("resumable")));
@@ -117,7 +117,7 @@
     }
     for (int index = 0; index < reader.size("traffic_split"); index++) {
       final JsonReader entry = reader.element("traffic_split", index);
-      final int weight = (int) entry.integer("weight");
+      final int weight = entry.requiredSaturatedInt("weight", 0);
       entry
           .value("service", ServiceName::new)
           .ifPresent(name -> services.add(new WeightedService(name, weight)));
@@ -131,7 +131,7 @@
       final JsonReader reader = root.element("services", index);
       final boolean engine = reader.has("engine");
       final long tokens = engine ? reader.child("engine").integer("kv_capacity_tokens", 0) : 0;
-      final int connections = (int) reader.integer("max_connections", Integer.MAX_VALUE);
+      final int connections = reader.saturatedInt("max_connections", Integer.MAX_VALUE);
       final double coldPerSecond = Math.max(0, reader.integer("cold_per_s", 0));
       reader
           .value("name", ServiceName::new)
@@ -148,7 +148,7 @@
       final JsonReader reader = root.element(TENANTS, index);
       final OptionalInt priority =
           reader.has("priority")
-              ? OptionalInt.of((int) reader.integer("priority"))
+              ? OptionalInt.of(reader.saturatedInt("priority", 0))
               : OptionalInt.empty();
       final List<String> keys = reader.texts("api_keys");
       reader
@@ -161,9 +161,9 @@
   private static CallerLimits limits(final JsonReader reader) {
     final CallerLimits usual = CallerLimits.DEFAULT;
     return new CallerLimits(
-        (int) reader.integer("max_header_bytes", usual.maxHeaderBytes()),
-        (int) reader.integer("max_body_bytes", usual.maxBodyBytes()),
-        reader.integer("header_timeout_ms", usual.headerTimeoutMs()),
-        reader.integer("idle_timeout_ms", usual.idleTimeoutMs()));
+        reader.saturatedInt("max_header_bytes", usual.maxHeaderBytes()),
+        reader.saturatedInt("max_body_bytes", usual.maxBodyBytes()),
+        reader.saturatedInt("header_timeout_ms", (int) usual.headerTimeoutMs()),
+        reader.saturatedInt("idle_timeout_ms", (int) usual.idleTimeoutMs()));
   }
 }
--- a/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
+++ b/src/test/java/org/bulrushweir/platform/RoutingPlanDecoderTest.java
@@ -7,10 +7,14 @@
 import java.util.List;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.api.OrganisationId;
+import org.bulrushweir.api.ServiceName;
+import org.bulrushweir.catalog.CallerLimits;
 import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.catalog.Route;
 import org.bulrushweir.catalog.RoutingPlan;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the decoding of configurations. */
 class RoutingPlanDecoderTest {
@@ -47,6 +51,36 @@
         findings.findings().getFirst().toString());
   }
 
+  /** Guards against a limit of many bytes that, cut to 32 bits, refuses all bodies. */
+  @ParameterizedTest
+  @ValueSource(strings = {"2147483648", "4294967296", "18446744073709551616", "1e300"})
+  void numbersBeyondTheRangeOfAnIntStayLarge(final String number) {
+    final String text =
+        """
+        {"version": 3,
+         "routes": [{"host": "a.example", "prefix": "/", "kind": "safe", "timeout_ms": @,
+           "max_attempts": @, "traffic_split": [{"service": "a", "weight": @}]}],
+         "services": [{"name": "a", "max_connections": @}],
+         "limits": {"max_header_bytes": @, "max_body_bytes": @, "idle_timeout_ms": @,
+           "header_timeout_ms": "none"}}
+        """;
+    final RoutingPlan plan = decoder.decode(text.replace("@", number), findings).orElseThrow();
+    assertEquals(
+        new CallerLimits(
+            Integer.MAX_VALUE,
+            Integer.MAX_VALUE,
+            CallerLimits.DEFAULT.headerTimeoutMs(),
+            Integer.MAX_VALUE),
+        plan.limits());
+    assertEquals(
+        Integer.MAX_VALUE, plan.service(new ServiceName("a")).orElseThrow().maxConnections());
+    final Route route = plan.route("a.example", "/").orElseThrow();
+    assertEquals(Integer.MAX_VALUE, route.maxAttempts());
+    assertEquals(Integer.MAX_VALUE, route.timeoutMs());
+    assertEquals(Integer.MAX_VALUE, route.services().getFirst().weight());
+    assertEquals(1, findings.findings().size());
+  }
+
   private RoutingPlan decodeTenants(final String tenants) {
     return decoder
         .decode("{\"version\": 3, \"routes\": []" + tenants + "}", findings)
