Times and tokens that callers state are read within a range

A stopping gateway took a stream whose caller allows an endless output, which it would cut off; a negative or huge number of tokens put a request before all others of its organisation in the queue; NaN counted as a deadline of 0 ms.

Cause: RequestTranslator.number passed on what a double holds, up to the largest long, and sums and products of it overflowed (DrainPolicy, DispatchGate).

Change: numbers are read from 0 to 10^12, and what is no number is none.

Evidence: RequestTranslatorTest failed in 9 of its 13 new cases on (DrainPolicy accepted in 3 of 3) and passes now.

--- a/src/main/java/org/bulrushweir/platform/RequestTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/RequestTranslator.java
@@ -27,6 +27,9 @@
   private static final int MAX_ID_LENGTH = 200;
   private static final int LEAST_URGENT = 9;
 
+  /** The greatest time in milliseconds and number of tokens that is read; sums of it fit a long. */
+  private static final long MAX_NUMBER = 1_000_000_000_000L;
+
   private RequestTranslator() {}
 
   /**
@@ -70,13 +73,16 @@
     return query < 0 ? uri : uri.substring(0, query);
   }
 
-  /** Reads a number; a text that is none counts as absent. */
+  /** Reads a number that can't be negative or huge; a text that is none counts as absent. */
   private static OptionalLong number(final String text) {
     if (text == null) {
       return OptionalLong.empty();
     }
     try {
-      return OptionalLong.of((long) Double.parseDouble(text.strip()));
+      final double number = Double.parseDouble(text.strip());
+      return Double.isNaN(number)
+          ? OptionalLong.empty()
+          : OptionalLong.of(Math.clamp((long) number, 0, MAX_NUMBER));
     } catch (NumberFormatException e) {
       return OptionalLong.empty();
     }
--- a/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
+++ b/src/test/java/org/bulrushweir/platform/RequestTranslatorTest.java
@@ -16,10 +16,15 @@
 import org.bulrushweir.api.EndpointId;
 import org.bulrushweir.api.OrganisationId;
 import org.bulrushweir.balancing.PromptSegment;
+import org.bulrushweir.catalog.RequestKind;
 import org.bulrushweir.relay.AttemptHead;
+import org.bulrushweir.relay.DrainPolicy;
 import org.bulrushweir.relay.EventId;
 import org.bulrushweir.relay.RequestHead;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what is read of callers' requests and what reaches endpoints. */
 class RequestTranslatorTest {
@@ -77,6 +82,52 @@
     }
   }
 
+  /** Guards against sums of times and tokens that overflow, and against texts that seem numbers. */
+  @ParameterizedTest
+  @CsvSource({
+    "1e30,1000000000000",
+    "9223372036854775807,1000000000000",
+    "Infinity,1000000000000",
+    "-5,0",
+    "-1e30,0",
+    "1500.7,1500"
+  })
+  void numbersAreReadWithinTheirRange(final String text, final long expected) {
+    final RequestHead head = headWithNumbers(text);
+    assertEquals(OptionalLong.of(expected), head.timeoutMs());
+    assertEquals(OptionalLong.of(expected), head.outputTokens());
+    assertEquals(OptionalLong.of(expected), head.expectedTokens());
+  }
+
+  /** Guards against a stopping gateway that takes a stream which it would cut off. */
+  @ParameterizedTest
+  @ValueSource(strings = {"1e30", "9223372036854775807", "Infinity"})
+  void endlessStreamIsNotAcceptedByGatewayThatStops(final String tokens) {
+    final long graceMs = 8_000;
+    assertFalse(
+        new DrainPolicy(graceMs)
+            .accepts(RequestKind.STREAM, headWithNumbers(tokens).outputTokens(), 2 * graceMs, 0));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"NaN", "", "soon", "1,5"})
+  void textThatIsNoNumberIsNone(final String text) {
+    final RequestHead head = headWithNumbers(text);
+    assertEquals(OptionalLong.empty(), head.timeoutMs());
+    assertEquals(OptionalLong.empty(), head.outputTokens());
+    assertEquals(OptionalLong.empty(), head.expectedTokens());
+  }
+
+  private static RequestHead headWithNumbers(final String text) {
+    final HttpRequest request = request();
+    request
+        .headers()
+        .set("X-Deadline-Ms", text)
+        .set("X-Token-Usage", "1460," + text)
+        .set("X-Length-Hint", text);
+    return RequestTranslator.head(request).orElseThrow();
+  }
+
   @Test
   void headsThatCanBeReadInTwoWaysAreRefused() {
     final HttpRequest twoHosts = request();
