Entries of engines' cache lists without proper tokens are left out

A gateway that has started would keep such an entry for good, or count a wrong number of tokens as cached at an engine.

Cause: EngineCacheClient read the tokens with asInt, which passes on zero and negative numbers, takes the start of a text and wraps beyond 32 bits; callers' prompts are checked for this, lists were not.

Change: an entry counts if its tokens are a positive 32-bit number.

Evidence: EngineCacheClientTest.entriesWithoutProperTokensAreLeftOut failed on (7 segments, 2 expected) and passes now.

--- a/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
+++ b/src/main/java/org/bulrushweir/platform/EngineCacheClient.java
@@ -119,11 +119,16 @@
   List<PromptSegment> parse(final String text) throws JsonProcessingException {
     final List<PromptSegment> parts = new ArrayList<>();
     for (final JsonNode entry : JsonReader.MAPPER.readTree(text).path(HELD)) {
+      final JsonNode tokens = entry.path(TOKENS_INDEX);
+      if (!tokens.canConvertToInt() || tokens.intValue() < 1) {
+        // As an entry without tokens it would never be evicted.
+        continue;
+      }
       try {
         parts.add(
             new PromptSegment(
                 Long.parseUnsignedLong(entry.path(ID_INDEX).asText(), HEX_RADIX),
-                entry.path(TOKENS_INDEX).asInt()));
+                tokens.intValue()));
       } catch (NumberFormatException e) {
         // An id of another form names no part that callers' prompts can share.
         continue;
--- a/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
+++ b/src/test/java/org/bulrushweir/platform/EngineCacheClientTest.java
@@ -55,6 +55,19 @@
     }
   }
 
+  /** Guards against entries that are never evicted, or whose tokens wrap around. */
+  @Test
+  void entriesWithoutProperTokensAreLeftOut() throws JsonProcessingException {
+    final String list =
+        """
+        {"held": [["", "a", 800, "m"], ["", "b", 0, "m"], ["", "c", -1, "m"], ["", "d", "7", "m"],
+          ["", "e", 4294967297, "m"], ["", "f", 1e300, "m"], ["", "7", 10, "m"]]}
+        """;
+    assertEquals(
+        List.of(new PromptSegment(0xa, 800), new PromptSegment(7, 10)),
+        new EngineCacheClient(new OkHttpClient(), TIMEOUT_MS).parse(list));
+  }
+
   /** Guards against the list of an engine's cache that was read before. */
   @ParameterizedTest
   @MethodSource("org.bulrushweir.testing.Repetition#all")
