Times that endpoints state are read within a range

An endpoint that states a keep-alive timeout of 2^63 / 1,000 s or more got a new connection for each request; a Retry-After of 10^7 s or more reached callers with an exponent, as 9.2E15, which is no proper header.

Cause: ResponseTranslator multiplied seconds by 1,000 without a bound.

Evidence: StatedTimesTest failed in 8 of 14 cases on (timeouts of -1,000 and -5,000 ms, delays of 2^63 - 1 ms) and passes now.

--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -18,6 +18,10 @@
   private static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
   private static final String TIMEOUT = "timeout=";
   private static final long MS_PER_SECOND = 1_000;
+
+  /** The longest time that is read, in seconds; callers can read it without an exponent. */
+  private static final long MAX_SECONDS = 86_400;
+
   private static final int MISDIRECTED = 421;
   private static final int MIN_LOAD_FIELDS = 3;
   private static final double PERCENT = 100;
@@ -125,7 +129,8 @@
       return 0;
     }
     try {
-      return Math.max(0, (long) (Double.parseDouble(text.strip()) * MS_PER_SECOND));
+      final double seconds = Double.parseDouble(text.strip());
+      return (long) (Math.clamp(seconds, 0, MAX_SECONDS) * MS_PER_SECOND);
     } catch (NumberFormatException e) {
       // A date, which these endpoints do not send; no advice is taken from it.
       return 0;
@@ -166,7 +171,7 @@
 
   private static OptionalLong seconds(final String text) {
     try {
-      return OptionalLong.of(Long.parseLong(text) * MS_PER_SECOND);
+      return OptionalLong.of(Math.clamp(Long.parseLong(text), 0, MAX_SECONDS) * MS_PER_SECOND);
     } catch (NumberFormatException e) {
       return OptionalLong.empty();
     }
