Routers refuse event ids that no event of the fleet has

A caller that resumed with a negative sequence number made the sidecar read before the first part of the answer. The failure closes the connection that the router's other streams at this endpoint share (read in AnswerBuffer and PeerHandler, not run).

Cause: StreamPosition took any 32-bit number.

Change: attempt and sequence numbers are not negative, and the next sequence number exists; other ids get 400 bad-event-id.

--- a/src/main/java/org/bulrushweir/router/StreamPosition.java
+++ b/src/main/java/org/bulrushweir/router/StreamPosition.java
@@ -33,12 +33,17 @@
     if (fields.length != FIELDS || !Identifiers.isValid(fields[0])) {
       throw new IllegalArgumentException("not the id of an event of this fleet: " + text);
     }
-    return new StreamPosition(
-        new EndpointId(fields[0]),
-        Long.parseUnsignedLong(fields[1], HEX_RADIX),
-        RequestId.parse(fields[2]),
-        Integer.parseInt(fields[3]),
-        Integer.parseInt(fields[4]));
+    final StreamPosition position =
+        new StreamPosition(
+            new EndpointId(fields[0]),
+            Long.parseUnsignedLong(fields[1], HEX_RADIX),
+            RequestId.parse(fields[2]),
+            Integer.parseInt(fields[3]),
+            Integer.parseInt(fields[4]));
+    if (position.attempt < 0 || position.sequence < 0 || position.sequence == Integer.MAX_VALUE) {
+      throw new IllegalArgumentException("an event of this fleet can't have the id " + text);
+    }
+    return position;
   }
 
   @Override
