The servers of raw bytes are shared by the tests of all packages

Moves RawServer and RawRequest from the gateway's tests to org.bulrushweir.testing, as the tests of the sidecars' client need them too. No change of logic.

--- a/src/test/java/org/bulrushweir/gateway/BreakingStreamEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/BreakingStreamEndpoint.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /**
  * An engine whose streams break off inside an event. A request that resumes a stream gets a
--- a/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CrashDetectorTest.java
@@ -19,6 +19,7 @@
 import org.bulrushweir.balancing.PromptSegment;
 import org.bulrushweir.catalog.EndpointRecord;
 import org.bulrushweir.quarantine.PromptQuarantine;
+import org.bulrushweir.testing.RawServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/org/bulrushweir/gateway/CutOffAttempt.java
+++ b/src/test/java/org/bulrushweir/gateway/CutOffAttempt.java
@@ -4,6 +4,7 @@
 import org.bulrushweir.gateway.CutOffAnswer.End;
 import org.bulrushweir.gateway.CutOffAnswer.Trait;
 import org.bulrushweir.relay.ResponseFraming;
+import org.bulrushweir.testing.RawRequest;
 
 /**
  * An answer of which an endpoint has sent a part.
--- a/src/test/java/org/bulrushweir/gateway/CutOffCase.java
+++ b/src/test/java/org/bulrushweir/gateway/CutOffCase.java
@@ -4,6 +4,7 @@
 import org.bulrushweir.gateway.CutOffAnswer.End;
 import org.bulrushweir.gateway.CutOffAnswer.Trait;
 import org.bulrushweir.relay.ResponseFraming;
+import org.bulrushweir.testing.RawRequest;
 
 /**
  * A request that has one of its answers cut off; the other endpoints that it reaches are sound.
--- a/src/test/java/org/bulrushweir/gateway/CutOffEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/CutOffEndpoint.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /** Endpoints that share a script of answers, some of which are cut off. */
 final class CutOffEndpoint implements AutoCloseable {
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -40,6 +40,7 @@
 import org.bulrushweir.relay.PollMonitor;
 import org.bulrushweir.relay.ResponseFraming;
 import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.testing.RawRequest;
 
 /**
  * A gateway without sockets: the pipelines of one caller and of connections to endpoints, which
--- a/src/test/java/org/bulrushweir/gateway/EndlessCacheList.java
+++ b/src/test/java/org/bulrushweir/gateway/EndlessCacheList.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /** An engine whose list of what it has cached never ends. */
 public final class EndlessCacheList implements AutoCloseable {
--- a/src/test/java/org/bulrushweir/gateway/EndlessEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/EndlessEndpoint.java
@@ -5,6 +5,8 @@
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /**
  * An endpoint that answers each request with bytes that never end. It gives no list of its cache.
--- a/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RawEndpoint.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.bulrushweir.platform.EndpointSide;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /**
  * An endpoint that answers each request with a body that has neither a length nor chunks, and ends
--- a/src/test/java/org/bulrushweir/gateway/RepeatingEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/RepeatingEndpoint.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /**
  * A faulty endpoint that refuses each second request with proof. On a connection on which it has
--- a/src/test/java/org/bulrushweir/gateway/SlowReader.java
+++ b/src/test/java/org/bulrushweir/gateway/SlowReader.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /** An endpoint that reads the heads of requests and their bodies only once it is told to. */
 final class SlowReader implements AutoCloseable {
--- a/src/test/java/org/bulrushweir/gateway/StutteringEndpoint.java
+++ b/src/test/java/org/bulrushweir/gateway/StutteringEndpoint.java
@@ -7,6 +7,8 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /**
  * A faulty endpoint that writes an answer once more, whole or in part, at a time that a script
--- a/src/test/java/org/bulrushweir/gateway/TimedOrders.java
+++ b/src/test/java/org/bulrushweir/gateway/TimedOrders.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 
 /** An endpoint of the order service that records when requests arrive and how long it works. */
 public final class TimedOrders implements AutoCloseable {
--- a/src/test/java/org/bulrushweir/gateway/UnreadResponseTest.java
+++ b/src/test/java/org/bulrushweir/gateway/UnreadResponseTest.java
@@ -13,6 +13,8 @@
 import org.bulrushweir.demo.DemoFleet;
 import org.bulrushweir.platform.EndpointSide;
 import org.bulrushweir.store.SharedTable;
+import org.bulrushweir.testing.RawRequest;
+import org.bulrushweir.testing.RawServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/org/bulrushweir/gateway/RawRequest.java
+++ b/src/test/java/org/bulrushweir/testing/RawRequest.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.gateway;
+package org.bulrushweir.testing;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -11,12 +11,18 @@
  *
  * @param text the request line and the headers
  */
-record RawRequest(String text) {
+public record RawRequest(String text) {
 
   private static final String HEAD_END = "\r\n\r\n";
 
-  /** Reads a head up to its empty line. */
-  static RawRequest read(final InputStream input) throws IOException {
+  /**
+   * Reads a head up to its empty line.
+   *
+   * @param input the bytes of the connection
+   * @return the head
+   * @throws IOException if the connection ends before
+   */
+  public static RawRequest read(final InputStream input) throws IOException {
     final ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.US_ASCII).endsWith(HEAD_END)) {
       final int value = input.read();
@@ -28,8 +34,13 @@
     return new RawRequest(head.toString(StandardCharsets.US_ASCII));
   }
 
-  /** Returns a header, empty if it is missing. */
-  String header(final String name) {
+  /**
+   * Returns a header.
+   *
+   * @param name its name in any case
+   * @return its value, empty if it is missing
+   */
+  public String header(final String name) {
     final String start = name.toLowerCase(Locale.ROOT) + ":";
     return text.lines()
         .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(start))
@@ -38,11 +49,21 @@
         .orElse("");
   }
 
-  String id() {
+  /**
+   * Returns the id that the caller has given the request.
+   *
+   * @return the id, empty if it is missing
+   */
+  public String id() {
     return header("X-Request-Id");
   }
 
-  int contentLength() {
+  /**
+   * Returns the stated length of the body.
+   *
+   * @return the length in bytes, zero if none is stated
+   */
+  public int contentLength() {
     final String length = header("Content-Length");
     return length.isEmpty() ? 0 : Integer.parseInt(length);
   }
--- a/src/test/java/org/bulrushweir/gateway/RawServer.java
+++ b/src/test/java/org/bulrushweir/testing/RawServer.java
@@ -1,4 +1,4 @@
-package org.bulrushweir.gateway;
+package org.bulrushweir.testing;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -6,7 +6,7 @@
 import java.net.Socket;
 
 /** Accepts connections for endpoints that read and write raw bytes. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
 
   private static final int BACKLOG = 16;
 
@@ -14,7 +14,7 @@
 
   /** Serves a connection; it is closed afterwards. */
   @FunctionalInterface
-  interface Handler {
+  public interface Handler {
 
     /**
      * Serves a connection until its end.
@@ -29,8 +29,9 @@
    * Starts to accept connections.
    *
    * @param handler serves each of them on a thread of its own
+   * @throws IOException if there is no free port
    */
-  RawServer(final Handler handler) throws IOException {
+  public RawServer(final Handler handler) throws IOException {
     this(InetAddress.getLoopbackAddress(), handler);
   }
 
@@ -39,17 +40,28 @@
    *
    * @param address the loopback address to listen on
    * @param handler serves each of them on a thread of its own
+   * @throws IOException if there is no free port
    */
-  RawServer(final InetAddress address, final Handler handler) throws IOException {
+  public RawServer(final InetAddress address, final Handler handler) throws IOException {
     this.socket = new ServerSocket(0, BACKLOG, address);
     Thread.ofVirtual().start(() -> acceptConnections(handler));
   }
 
-  int port() {
+  /**
+   * Returns the port.
+   *
+   * @return the bound port
+   */
+  public int port() {
     return socket.getLocalPort();
   }
 
-  boolean isClosed() {
+  /**
+   * Returns whether the server has ended.
+   *
+   * @return true once it accepts no more connections
+   */
+  public boolean isClosed() {
     return socket.isClosed();
   }
 
