Sidecars take no part of an answer for a whole one after a cut-off upload

Cause: the HTTP client reads the response although the request could not be written. The write has consumed the reset, so that the next read finds the end of the connection, which is all that ends such a body. A cache whose upload was cut off counted as imported in the same way.

Change: RequestProgress also records that the request was cut off, and ResponseCheck then accepts only a body whose end is stated. Imports need the whole upload.

--- a/src/main/java/org/bulrushweir/engine/EngineClient.java
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
@@ -35,6 +37,7 @@
 
   private static final String DATA_PREFIX = "data: ";
   private static final String DONE = "[DONE]";
+  private static final int STATUS_NO_CONTENT = 204;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_CONFLICT = 409;
   private static final int STATUS_TOO_MANY_REQUESTS = 429;
@@ -56,7 +59,7 @@
             .retryOnConnectionFailure(false)
             .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
             .readTimeout(Duration.ofMillis(STALL_TIMEOUT_MS))
-            .eventListener(new SentFlag.Listener())
+            .eventListener(new RequestProgress.Listener())
             .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
             .build();
   }
@@ -68,12 +71,10 @@
    * @return the call, which other threads can cancel
    */
   public Call newChatCall(final EngineProtocol.ChatRequest request) {
-    return client.newCall(
+    return newCall(
         new Request.Builder()
             .url(url("/v1/chat/completions"))
-            .tag(SentFlag.class, new SentFlag())
-            .post(RequestBody.create(write(request), JSON))
-            .build());
+            .post(RequestBody.create(write(request), JSON)));
   }
 
   /**
@@ -85,7 +86,7 @@
    *     engine answered with status 404, 429 or 503; {@code Broken} after any other failure
    */
   public EngineResult executeChat(final Call call, final EngineListener listener) {
-    try (Response response = call.execute()) {
+    try (Response response = execute(call)) {
       if (!response.isSuccessful()) {
         return errorResult(response);
       }
@@ -95,14 +96,45 @@
     }
   }
 
+  /**
+   * Executes a call.
+   *
+   * @param call the prepared call
+   * @return the response, which is sound as far as its head tells
+   * @throws IOException if there is no such response
+   */
+  private static Response execute(final Call call) throws IOException {
+    final Response response = call.execute();
+    final Optional<String> fault =
+        ResponseCheck.findFault(statesItsEnd(response), progress(call).isCutOff());
+    if (fault.isPresent()) {
+      response.close();
+      throw new ProtocolException(fault.get());
+    }
+    return response;
+  }
+
+  private static boolean statesItsEnd(final Response response) {
+    return response.header("Content-Length") != null
+        || "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"))
+        || response.code() == STATUS_NO_CONTENT;
+  }
+
+  private static RequestProgress progress(final Call call) {
+    return Objects.requireNonNull(call.request().tag(RequestProgress.class));
+  }
+
+  private Call newCall(final Request.Builder request) {
+    return client.newCall(request.tag(RequestProgress.class, new RequestProgress()).build());
+  }
+
   /**
    * Classifies a failed call: {@code Refused} if no byte was sent, so that the request has
    * certainly not run; {@code Broken} otherwise.
    */
   private static EngineResult failureResult(
       final Call call, final String endpoint, final IOException failure) {
-    final SentFlag flag = call.request().tag(SentFlag.class);
-    if (flag != null && !flag.isSent()) {
+    if (!progress(call).isStarted()) {
       return new EngineResult.Refused(
           false, endpoint + " can't be reached: " + failure.getMessage());
     }
@@ -159,12 +191,7 @@
     final boolean bodyAllowed = !"GET".equals(method) && !"HEAD".equals(method);
     final MediaType type = contentType.isEmpty() ? null : MediaType.parse(contentType);
     final RequestBody requestBody = bodyAllowed ? RequestBody.create(body, type) : null;
-    return client.newCall(
-        new Request.Builder()
-            .url(url(path))
-            .tag(SentFlag.class, new SentFlag())
-            .method(method, requestBody)
-            .build());
+    return newCall(new Request.Builder().url(url(path)).method(method, requestBody));
   }
 
   /**
@@ -175,7 +202,7 @@
    *     after any other failure
    */
   public EngineResult executeServiceCall(final Call call) {
-    try (Response response = call.execute()) {
+    try (Response response = execute(call)) {
       final MediaType type = response.body().contentType();
       return new EngineResult.Answered(
           response.code(), type == null ? "" : type.toString(), response.body().bytes());
@@ -190,8 +217,7 @@
    * @return the state, empty if the engine does not answer with a success
    */
   public Optional<EngineProtocol.EngineState> fetchState() {
-    final Request request = new Request.Builder().url(url("/v1/state")).build();
-    try (Response response = client.newCall(request).execute()) {
+    try (Response response = execute(newCall(new Request.Builder().url(url("/v1/state"))))) {
       if (!response.isSuccessful()) {
         return Optional.empty();
       }
@@ -210,12 +236,9 @@
    *     fencing token, {@code FAILED} otherwise, in which case it may have been carried out
    */
   public OrderResult sendOrder(final EngineProtocol.Order order) {
-    final Request request =
-        new Request.Builder()
-            .url(url("/v1/orders"))
-            .post(RequestBody.create(write(order), JSON))
-            .build();
-    try (Response response = client.newCall(request).execute()) {
+    final Request.Builder request =
+        new Request.Builder().url(url("/v1/orders")).post(RequestBody.create(write(order), JSON));
+    try (Response response = execute(newCall(request))) {
       if (response.code() == STATUS_CONFLICT) {
         return OrderResult.FENCED;
       }
@@ -233,8 +256,8 @@
    *     fails
    */
   public Optional<byte[]> exportCache(final String key) {
-    final Request request = new Request.Builder().url(url("/v1/cache/" + key)).build();
-    try (Response response = client.newCall(request).execute()) {
+    final Request.Builder request = new Request.Builder().url(url("/v1/cache/" + key));
+    try (Response response = execute(newCall(request))) {
       return response.isSuccessful() ? Optional.of(response.body().bytes()) : Optional.empty();
     } catch (IOException e) {
       return Optional.empty();
@@ -249,13 +272,13 @@
    * @return true if the engine has imported it
    */
   public boolean importCache(final String key, final byte[] content) {
-    final Request request =
-        new Request.Builder()
-            .url(url("/v1/cache/" + key))
-            .put(RequestBody.create(content, JSON))
-            .build();
-    try (Response response = client.newCall(request).execute()) {
-      return response.isSuccessful();
+    final Call call =
+        newCall(
+            new Request.Builder()
+                .url(url("/v1/cache/" + key))
+                .put(RequestBody.create(content, JSON)));
+    try (Response response = execute(call)) {
+      return response.isSuccessful() && !progress(call).isCutOff();
     } catch (IOException e) {
       return false;
     }
--- /dev/null
+++ b/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
@@ -0,0 +1,85 @@
+package org.bulrushweir.engine;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.IOException;
+import java.util.List;
+import okhttp3.Call;
+import okhttp3.HttpUrl;
+import org.bulrushweir.testing.EarlyAnswer;
+import org.bulrushweir.testing.RawServer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests the client before an endpoint whose answers are cut off or no answers in the protocol. */
+class UnsoundAnswerTest {
+
+  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\n";
+  private static final String EVENTS =
+      "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n"
+          + "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
+          + "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\n";
+  private static final int UPLOAD_BYTES = 16_000_000;
+
+  private static EngineResult call(final RawServer server, final int bytes) {
+    try (EngineClient client = client(server)) {
+      return client.executeServiceCall(
+          client.newServiceCall("POST", "/bookings", "text/plain", new byte[bytes]));
+    }
+  }
+
+  private static EngineResult chat(final RawServer server, final int bytes) {
+    try (EngineClient client = client(server)) {
+      final EngineProtocol.ChatMessage message =
+          new EngineProtocol.ChatMessage("user", "a".repeat(bytes));
+      final Call call =
+          client.newChatCall(
+              new EngineProtocol.ChatRequest(
+                  "m", List.of(message), null, true, "r", 0, null, "key"));
+      return client.executeChat(call, token -> {});
+    }
+  }
+
+  private static EngineClient client(final RawServer server) {
+    return new EngineClient(HttpUrl.get("http://127.0.0.1:" + server.port()));
+  }
+
+  /**
+   * Guards against the part of an answer, cut off during the upload, that counts as a whole one.
+   */
+  @ParameterizedTest
+  @EnumSource(EarlyAnswer.End.class)
+  void callThatIsAnsweredAndCutOffDuringItsUploadIsBroken(final EarlyAnswer.End end)
+      throws IOException {
+    try (RawServer server = new RawServer(new EarlyAnswer(UNFRAMED + "book", end))) {
+      final EngineResult result = call(server, UPLOAD_BYTES);
+      if (end == EarlyAnswer.End.HALF_CLOSED) {
+        assertInstanceOf(EngineResult.Answered.class, result);
+      } else {
+        assertInstanceOf(EngineResult.Broken.class, result);
+      }
+    }
+  }
+
+  /** Guards against a stream that was cut off during the upload and counts as a whole one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", EVENTS})
+  void chatThatIsAnsweredAndResetDuringItsUploadIsBroken(final String events) throws IOException {
+    try (RawServer server =
+        new RawServer(new EarlyAnswer(UNFRAMED + events, EarlyAnswer.End.RESET))) {
+      assertInstanceOf(EngineResult.Broken.class, chat(server, UPLOAD_BYTES));
+    }
+  }
+
+  /** Guards against a cache that counts as imported although its upload was cut off. */
+  @ParameterizedTest
+  @EnumSource(names = {"RESET", "CLOSED"})
+  void cacheWhoseUploadIsCutOffIsNotImported(final EarlyAnswer.End end) throws IOException {
+    try (RawServer server = new RawServer(new EarlyAnswer(UNFRAMED, end));
+        EngineClient client = client(server)) {
+      assertFalse(client.importCache("key", new byte[UPLOAD_BYTES]));
+    }
+  }
+}
