Sidecars take a status that HTTP does not define for no answer

A service answered with status 000. The router's caller got 500 without a run state, and the outcome with status 0 was stored under the Idempotency-Key as the answer of the booking (MIXED). Statuses from 600 on were passed on.

Cause: the HTTP client accepts any three digits, and a plain service's status is passed on as it is.

Change: ResponseCheck refuses statuses outside 100 to 599; the attempt may have run, and the caller gets 504 with the run state "unknown". Gateways refuse them in ResponseSyntax already.

--- a/src/main/java/org/bulrushweir/engine/EngineClient.java
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -106,7 +106,7 @@
   private static Response execute(final Call call) throws IOException {
     final Response response = call.execute();
     final Optional<String> fault =
-        ResponseCheck.findFault(statesItsEnd(response), progress(call).isCutOff());
+        ResponseCheck.findFault(response.code(), statesItsEnd(response), progress(call).isCutOff());
     if (fault.isPresent()) {
       response.close();
       throw new ProtocolException(fault.get());
--- a/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
+++ b/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
@@ -1,5 +1,6 @@
 package org.bulrushweir.engine;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
@@ -21,6 +22,7 @@
       "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n"
           + "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
           + "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\n";
+  private static final String DONE = "data: [DONE]\n\n";
   private static final int UPLOAD_BYTES = 16_000_000;
 
   private static EngineResult call(final RawServer server, final int bytes) {
@@ -82,4 +84,26 @@
       assertFalse(client.importCache("key", new byte[UPLOAD_BYTES]));
     }
   }
+
+  /** Guards against a status that HTTP does not define and that callers would get as an answer. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  void answerWithAnUndefinedStatusIsBroken(final String status) throws IOException {
+    final String head = "HTTP/1.1 " + status + " Trouble\r\nContent-Length: ";
+    final String stream = EVENTS + DONE;
+    try (RawServer service =
+            new RawServer(new EarlyAnswer(head + "6\r\n\r\nbooked", EarlyAnswer.End.CLOSED));
+        RawServer engine =
+            new RawServer(
+                new EarlyAnswer(
+                    head + stream.length() + "\r\n\r\n" + stream, EarlyAnswer.End.CLOSED))) {
+      assertInstanceOf(EngineResult.Broken.class, call(service, 0));
+      assertInstanceOf(EngineResult.Broken.class, chat(engine, 1));
+      try (EngineClient client = client(service)) {
+        assertEquals(
+            OrderResult.FAILED,
+            client.sendOrder(new EngineProtocol.Order(1, "m", "1", List.of(), true)));
+      }
+    }
+  }
 }
--- a/src/test/java/org/bulrushweir/process/UnsoundAnswerProcessTest.java
+++ b/src/test/java/org/bulrushweir/process/UnsoundAnswerProcessTest.java
@@ -75,6 +75,12 @@
                 .getBytes(StandardCharsets.US_ASCII));
   }
 
+  private static EarlyAnswer undefinedStatus(final String body) {
+    return new EarlyAnswer(
+        "HTTP/1.1 000 Trouble\r\nContent-Length: " + body.length() + "\r\n\r\n" + body,
+        EarlyAnswer.End.CLOSED);
+  }
+
   private static EarlyAnswer cutOff(final String body) {
     return new EarlyAnswer("HTTP/1.1 200 OK\r\n\r\n" + body, EarlyAnswer.End.RESET);
   }
@@ -105,6 +111,14 @@
             .header("Bulrushweir-Deadline-Ms", "3000"));
   }
 
+  /** Guards against a status that HTTP does not define, as the answer to a call. */
+  @Test
+  void callsDoNotGetAnUndefinedStatus() throws Exception {
+    answer = undefinedStatus("booked");
+    assertUnknown(book(10, ""));
+    assertUnknown(book(10, "key-1"));
+  }
+
   /** Guards against part of an answer, cut off during the upload, as the answer to a call. */
   @Test
   void callsDoNotGetThePartOfAnAnswer() throws Exception {
@@ -117,6 +131,8 @@
   @Test
   void chatsDoNotGetAnUnsoundAnswer() throws Exception {
     for (final boolean stream : new boolean[] {false, true}) {
+      answer = undefinedStatus(EVENTS);
+      assertUnknown(chat(1, stream));
       answer = cutOff(EVENTS);
       assertUnknown(chat(UPLOAD_BYTES, stream));
     }
