--- a/src/main/java/org/bulrushweir/engine/ResponseCheck.java
+++ b/src/main/java/org/bulrushweir/engine/ResponseCheck.java
@@ -5,7 +5,7 @@
 /** Decides whether a response that an endpoint has begun can be taken for its answer. */
 final class ResponseCheck {
 
-  private static final int MIN_STATUS = 100;
+  private static final int MIN_STATUS = 200;
   private static final int MAX_STATUS = 599;
 
   private ResponseCheck() {}
@@ -22,7 +22,7 @@
   static Optional<String> findFault(
       final int status, final boolean endStated, final boolean requestCutOff) {
     if (status < MIN_STATUS || status > MAX_STATUS) {
-      return Optional.of("HTTP does not define the status " + status);
+      return Optional.of("an answer can't have the status " + status);
     }
     if (requestCutOff && !endStated) {
       return Optional.of("the connection was closed before the request was sent completely");
--- a/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
+++ b/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
@@ -87,7 +87,7 @@
 
   /** Guards against a status that HTTP does not define and that callers would get as an answer. */
   @ParameterizedTest
-  @ValueSource(strings = {"000", "099", "600", "999"})
+  @ValueSource(strings = {"000", "099", "101", "600", "999"})
   void answerWithAnUndefinedStatusIsBroken(final String status) throws IOException {
     final String head = "HTTP/1.1 " + status + " Trouble\r\nContent-Length: ";
     final String stream = EVENTS + DONE;
