Open connections follow the limits of the active plan

Cause: connections that are accepted before the gateway has read the configuration took the usual limits for good: the decoder keeps the limit that it is created with, and CallerHandler copied the others. Changes of the limits did not reach open connections either.

Change: the limits are read when they are needed; RequestDecoderSlot replaces the decoder between two requests. Beyond a limit that is not confirmed as the configured one the answer is 503 with Retry-After, not 413 or 431.

--- a/src/main/java/org/bulrushweir/gateway/CallerHandler.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerHandler.java
@@ -48,7 +48,7 @@
 
   private final CallerPipeline<Received> pipeline = new CallerPipeline<>();
   private final GatewayCore core;
-  private final CallerLimits limits;
+  private final RequestDecoderSlot decoder;
   private final RequestHeadTimer headTimer;
   private final UnreadTime unread;
   private ChannelHandlerContext context;
@@ -66,12 +66,17 @@
    * Creates the handler of one connection.
    *
    * @param core serves the requests
+   * @param decoder holds the decoder of the connection's requests
    * @param headTimer measures how long the head of a request has been incomplete
    * @param unread tells since when the connection may be unread
    */
-  CallerHandler(final GatewayCore core, final RequestHeadTimer headTimer, final UnreadTime unread) {
+  CallerHandler(
+      final GatewayCore core,
+      final RequestDecoderSlot decoder,
+      final RequestHeadTimer headTimer,
+      final UnreadTime unread) {
     this.core = core;
-    this.limits = core.limits();
+    this.decoder = decoder;
     this.headTimer = headTimer;
     this.unread = unread;
   }
@@ -141,11 +146,25 @@
   }
 
   private void refuseMalformed(final Throwable cause) {
-    final boolean tooLong = cause instanceof TooLongFrameException;
-    refuseAndClose(
-        tooLong
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST);
+    if (!(cause instanceof TooLongFrameException)) {
+      refuseAndClose(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    refuseBeyondLimit(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, !decoder.isOutdated());
+  }
+
+  /**
+   * Refuses a request beyond a limit: for good if that limit is in force, else for now.
+   *
+   * @param denied the status that refuses it for good
+   * @param current whether the limit is the one of the active plan
+   */
+  private void refuseBeyondLimit(final HttpResponseStatus denied, final boolean current) {
+    if (current && core.isPlanConfirmed()) {
+      refuseAndClose(denied);
+      return;
+    }
+    refuseAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, core.retryAfterMs());
   }
 
   private void handleHead(final HttpRequest head) {
@@ -155,8 +174,8 @@
       return;
     }
     final long length = HttpUtil.getContentLength(head, 0L);
-    if (length > limits.maxBodyBytes()) {
-      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    if (length > core.limits().maxBodyBytes()) {
+      refuseBeyondLimit(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, true);
       return;
     }
     if (HttpUtil.is100ContinueExpected(head)) {
@@ -168,9 +187,9 @@
   }
 
   private void handleContent(final HttpContent content) {
-    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+    if (body.readableBytes() + content.content().readableBytes() > core.limits().maxBodyBytes()) {
       content.release();
-      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      refuseBeyondLimit(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, true);
       return;
     }
     body.writeBytes(content.content());
@@ -210,11 +229,15 @@
    * request is unknown or not worth waiting for.
    */
   private void refuseAndClose(final HttpResponseStatus status) {
+    refuseAndClose(status, 0);
+  }
+
+  private void refuseAndClose(final HttpResponseStatus status, final long retryAfterMs) {
     core.log().recordRefusal("", status.code(), "unread");
     request = null;
     body = null;
     pipeline.startServing(false);
-    refuse(status, 0);
+    refuse(status, retryAfterMs);
   }
 
   @Override
@@ -388,7 +411,7 @@
     timer =
         context
             .executor()
-            .schedule(this::checkTimeouts, limits.headerTimeoutMs(), TimeUnit.MILLISECONDS);
+            .schedule(this::checkTimeouts, core.limits().headerTimeoutMs(), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -397,7 +420,7 @@
    */
   private void checkTimeouts() {
     final long nowMs = core.nowMs();
-    final boolean idle = nowMs - lastActivityMs >= limits.idleTimeoutMs();
+    final boolean idle = nowMs - lastActivityMs >= core.limits().idleTimeoutMs();
     if (pipeline.isClosing() && idle) {
       context.close();
       return;
@@ -405,7 +428,7 @@
     if (!pipeline.isBusy() && !pipeline.isClosing()) {
       final boolean slowHead =
           headTimer.isHeadIncomplete()
-              && nowMs - headTimer.headStartedMs() >= limits.headerTimeoutMs();
+              && nowMs - headTimer.headStartedMs() >= core.limits().headerTimeoutMs();
       if (slowHead || request != null && idle) {
         refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
       } else if (idle) {
--- a/src/main/java/org/bulrushweir/gateway/CallerRequestDecoder.java
+++ b/src/main/java/org/bulrushweir/gateway/CallerRequestDecoder.java
@@ -15,6 +15,8 @@
   /** The largest piece of a body that is passed on, in bytes. */
   private static final int MAX_CHUNK_BYTES = 16_384;
 
+  private final int maxHeaderBytes;
+
   /**
    * Creates a decoder.
    *
@@ -27,6 +29,11 @@
             .setMaxHeaderSize(maxHeaderBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
             .setValidateHeaders(true));
+    this.maxHeaderBytes = maxHeaderBytes;
+  }
+
+  int maxHeaderBytes() {
+    return maxHeaderBytes;
   }
 
   @Override
--- a/src/main/java/org/bulrushweir/gateway/GatewayCore.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayCore.java
@@ -116,6 +116,10 @@
     return activePlan.current().map(RoutingPlan::limits).orElse(CallerLimits.DEFAULT);
   }
 
+  boolean isPlanConfirmed() {
+    return activePlan.isConfirmed(clock.nowMs());
+  }
+
   /**
    * Returns whether this process accepts new requests.
    *
--- a/src/main/java/org/bulrushweir/gateway/GatewayServers.java
+++ b/src/main/java/org/bulrushweir/gateway/GatewayServers.java
@@ -77,16 +77,16 @@
               protected void initChannel(final Channel channel) {
                 final UnreadTime unread = new UnreadTime(core.polls(), clock);
                 final RequestHeadTimer headTimer = new RequestHeadTimer(clock, unread);
-                final CallerRequestDecoder decoder =
-                    new CallerRequestDecoder(core.limits().maxHeaderBytes());
+                final RequestDecoderSlot slot =
+                    new RequestDecoderSlot(() -> core.limits().maxHeaderBytes());
                 channel
                     .pipeline()
                     .addLast(
-                        headTimer.beforeDecoder(decoder),
-                        decoder,
+                        headTimer.beforeDecoder(slot),
+                        slot.decoder(),
                         headTimer.afterDecoder(),
                         new HttpResponseEncoder(),
-                        new CallerHandler(core, headTimer, unread));
+                        new CallerHandler(core, slot, headTimer, unread));
               }
             })
         .register()
--- a/src/main/java/org/bulrushweir/gateway/RequestHeadTimer.java
+++ b/src/main/java/org/bulrushweir/gateway/RequestHeadTimer.java
@@ -56,17 +56,20 @@
   /**
    * Returns the handler to install before the decoder; it receives bytes.
    *
-   * @param decoder the decoder
+   * @param slot holds the decoder, which may be replaced when the bytes start a request
    * @return the handler
    */
-  ChannelInboundHandlerAdapter beforeDecoder(final CallerRequestDecoder decoder) {
+  ChannelInboundHandlerAdapter beforeDecoder(final RequestDecoderSlot slot) {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(final ChannelHandlerContext context, final Object message) {
         bytesArrivedMs = unread.sinceMs();
+        if (betweenRequests && !isHeadIncomplete()) {
+          slot.renewIfOutdated(context);
+        }
         startHead();
         context.fireChannelRead(message);
-        if (decoder.hasUndecodedBytes()) {
+        if (slot.decoder().hasUndecodedBytes()) {
           startHead();
         }
       }
--- a/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
+++ b/src/test/java/org/bulrushweir/gateway/CallerHandlerTest.java
@@ -106,7 +106,11 @@
 
   private CallerHandler handler(final GatewayCore served) {
     final UnreadTime unread = new UnreadTime(served.polls(), now::get);
-    return new CallerHandler(served, new RequestHeadTimer(now::get, unread), unread);
+    return new CallerHandler(
+        served,
+        new RequestDecoderSlot(() -> served.limits().maxHeaderBytes()),
+        new RequestHeadTimer(now::get, unread),
+        unread);
   }
 
   /** Returns the statuses of the responses, and the ends of connections that they announce. */
--- a/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
+++ b/src/test/java/org/bulrushweir/gateway/EmbeddedGateway.java
@@ -99,15 +99,7 @@
    * @param settings whether and when requests wait for room
    */
   EmbeddedGateway(final RequestLog log, final StartGate gate, final DispatchSettings settings) {
-    this(
-        log,
-        gate,
-        (endpoint, nowMs) -> true,
-        new ColdBudget(
-            new ColdEndpoints(),
-            new GatewayView(new NodeId("gateway-1")),
-            service -> OptionalInt.empty()),
-        settings);
+    this(log, gate, (endpoint, nowMs) -> true, unlimited(), settings, true);
   }
 
   /**
@@ -123,7 +115,8 @@
         new StartGate(EnumSet.of(SharedTable.ENDPOINTS)),
         filter,
         coldBudget,
-        DispatchSettings.OFF);
+        DispatchSettings.OFF,
+        true);
     GatewayCoreFixture.open(gate, directory);
   }
 
@@ -132,10 +125,12 @@
       final StartGate gate,
       final EndpointFilter filter,
       final ColdBudget coldBudget,
-      final DispatchSettings settings) {
+      final DispatchSettings settings,
+      final boolean planKnown) {
     this.gate = gate;
-    plan.adoptIfNewer(PLAN);
-    plan.recordRead(1, START_MS);
+    if (planKnown) {
+      adopt(PLAN);
+    }
     final EndpointTracker tracker = new EndpointTracker(directory, service -> 0, 1, filter);
     core =
         GatewayCoreFixture.create(
@@ -157,18 +152,42 @@
   EmbeddedChannel openCaller() {
     final UnreadTime unread = new UnreadTime(polls, now::get);
     final RequestHeadTimer headTimer = new RequestHeadTimer(now::get, unread);
-    final CallerRequestDecoder decoder = new CallerRequestDecoder(core.limits().maxHeaderBytes());
+    final RequestDecoderSlot slot = new RequestDecoderSlot(() -> core.limits().maxHeaderBytes());
     return new EmbeddedChannel(
-        headTimer.beforeDecoder(decoder),
-        decoder,
+        headTimer.beforeDecoder(slot),
+        slot.decoder(),
         headTimer.afterDecoder(),
         new HttpResponseEncoder(),
-        new CallerHandler(core, headTimer, unread));
+        new CallerHandler(core, slot, headTimer, unread));
+  }
+
+  /**
+   * Creates a gateway that has not read the configuration.
+   *
+   * @param log counts and logs requests
+   * @return the gateway
+   */
+  static EmbeddedGateway withoutPlan(final RequestLog log) {
+    return new EmbeddedGateway(
+        log,
+        new StartGate(EnumSet.of(SharedTable.ENDPOINTS)),
+        (endpoint, nowMs) -> true,
+        unlimited(),
+        DispatchSettings.OFF,
+        false);
+  }
+
+  private static ColdBudget unlimited() {
+    return new ColdBudget(
+        new ColdEndpoints(),
+        new GatewayView(new NodeId("gateway-1")),
+        service -> OptionalInt.empty());
   }
 
-  /** Adopts a newer plan. */
+  /** Adopts a newer plan, which has just been read. */
   void adopt(final RoutingPlan newer) {
     plan.adoptIfNewer(newer);
+    plan.recordRead(newer.version(), now.get());
   }
 
   /** Stops the process without waiting for anything. */
