--- a/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
+++ b/src/main/java/org/bulrushweir/platform/ResponseTranslator.java
@@ -19,7 +19,7 @@
   private static final String TIMEOUT = "timeout=";
   private static final long MS_PER_SECOND = 1_000;
 
-  /** The longest time that is read, in seconds; callers can read it without an exponent. */
+  /** The longest time that is read, in seconds; it is written without an exponent. */
   private static final long MAX_SECONDS = 86_400;
 
   private static final int MISDIRECTED = 421;
--- a/src/test/java/org/bulrushweir/gateway/EventIdResumptionTest.java
+++ b/src/test/java/org/bulrushweir/gateway/EventIdResumptionTest.java
@@ -53,7 +53,8 @@
             "18446744073709551618"),
         List.of("1.5", "1.75", "2.5", "10.5"),
         List.of("Infinity", "NaN", "1e3", "1e4"),
-        List.of("piece-a", "piece-b", "piece-c", "piece-d"));
+        List.of("piece-a", "piece-b", "piece-c", "piece-d"),
+        List.of("pièce 1", "pièce 2", "pièce 3", "pièce 4"));
   }
 
   private static String events(final List<String> ids) {
