Sidecars send each request once, to their endpoint only

A plain service that answered with a redirection had the sidecar send another request there, whose answer reached the caller as the service's; after 307 and 308 that was the booking itself.

Cause: the HTTP client follows up on such responses by itself; retryOnConnectionFailure(false) does not cover them.

Change: no redirection is followed, and Retry-After is removed before the client reads it.

--- a/src/main/java/org/bulrushweir/engine/EngineClient.java
+++ b/src/main/java/org/bulrushweir/engine/EngineClient.java
@@ -11,6 +11,7 @@
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.HttpUrl;
+import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -20,8 +21,8 @@
 
 /**
  * HTTP client of the endpoint that a sidecar fronts, a model engine or a plain service. All calls
- * block, so callers use virtual threads. Connecting fails after 1 s, and a call fails if the
- * endpoint sends nothing for 10 s.
+ * block, so callers use virtual threads. Each call is sent once, to this endpoint. Connecting fails
+ * after 1 s, and a call fails if the endpoint sends nothing for 10 s.
  */
 public final class EngineClient implements AutoCloseable {
 
@@ -57,6 +58,9 @@
     this.client =
         new OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .followSslRedirects(false)
+            .addNetworkInterceptor(EngineClient::withoutRetryAdvice)
             .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
             .readTimeout(Duration.ofMillis(STALL_TIMEOUT_MS))
             .eventListener(new RequestProgress.Listener())
@@ -64,6 +68,11 @@
             .build();
   }
 
+  /** Removes the header at which the HTTP client repeats a request by itself. */
+  private static Response withoutRetryAdvice(final Interceptor.Chain chain) throws IOException {
+    return chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build();
+  }
+
   /**
    * Prepares a streaming chat request.
    *
--- a/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
+++ b/src/test/java/org/bulrushweir/engine/UnsoundAnswerTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.Call;
 import okhttp3.HttpUrl;
 import org.bulrushweir.testing.EarlyAnswer;
@@ -106,4 +108,50 @@
       }
     }
   }
+
+  /** Guards against a request that nobody sent, whose answer takes the place of the endpoint's. */
+  @ParameterizedTest
+  @ValueSource(strings = {"301", "302", "303", "307", "308"})
+  void redirectionIsTheAnswer(final String status) throws IOException {
+    try (RawServer other =
+            new RawServer(
+                new EarlyAnswer(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", EarlyAnswer.End.CLOSED));
+        RawServer service =
+            new RawServer(
+                new EarlyAnswer(
+                    "HTTP/1.1 "
+                        + status
+                        + " Moved\r\nLocation: http://127.0.0.1:"
+                        + other.port()
+                        + "/\r\nContent-Length: 5\r\n\r\nmoved",
+                    EarlyAnswer.End.CLOSED))) {
+      final EngineResult.Answered answered =
+          assertInstanceOf(EngineResult.Answered.class, call(service, 0));
+      assertEquals(Integer.parseInt(status), answered.httpStatus());
+      assertEquals("moved", new String(answered.body(), StandardCharsets.US_ASCII));
+    }
+  }
+
+  /** Guards against a request that the client repeats by itself, whatever it is. */
+  @ParameterizedTest
+  @ValueSource(strings = {"503", "408", "421", "500"})
+  void requestIsSentOnce(final String status) throws IOException {
+    final AtomicInteger requests = new AtomicInteger();
+    final EarlyAnswer answer =
+        new EarlyAnswer(
+            "HTTP/1.1 " + status + " Trouble\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n",
+            EarlyAnswer.End.CLOSED);
+    try (RawServer service =
+        new RawServer(
+            connection -> {
+              requests.incrementAndGet();
+              answer.serve(connection);
+            })) {
+      final EngineResult.Answered answered =
+          assertInstanceOf(EngineResult.Answered.class, call(service, 0));
+      assertEquals(Integer.parseInt(status), answered.httpStatus());
+      assertEquals(1, requests.get());
+    }
+  }
 }
