--- a/src/test/java/org/bulrushweir/gateway/ChangedLimitsTest.java
+++ b/src/test/java/org/bulrushweir/gateway/ChangedLimitsTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.List;
+import java.util.Locale;
 import org.bulrushweir.api.FindingCollector;
 import org.bulrushweir.catalog.CallerLimits;
 import org.bulrushweir.catalog.RoutingPlan;
@@ -121,7 +122,9 @@
             request("long-body", 0, USUAL_BODY_BYTES + 1))) {
       try (EmbeddedGateway gateway = EmbeddedGateway.withoutPlan(log)) {
         assertRefused(gateway, request, 503);
-        assertTrue(gateway.received().toLowerCase().contains("retry-after"), gateway.received());
+        assertTrue(
+            gateway.received().toLowerCase(Locale.ROOT).contains("retry-after"),
+            gateway.received());
       }
     }
   }
